--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/packages/cli/src/persimmonyard/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and callers."""
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and control processes."""
--- /dev/null
+++ b/packages/replication/src/persimmonyard/replication/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated log and the storage under it."""
--- /dev/null
+++ b/packages/scheduler/src/persimmonyard/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about placement, preemption and guarantees."""
--- /dev/null
+++ b/packages/standin/src/persimmonyard/standin/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in upstream and a demonstration deployment."""
--- /dev/null
+++ b/packages/state/src/persimmonyard/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state and the commands that change it."""
--- /dev/null
+++ b/packages/wire/src/persimmonyard/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between persimmonyard processes."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one package for each package of the product."""
--- /dev/null
+++ b/test/model/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the model package."""
