--- a/packages/model/src/persimmonyard/model/__init__.py
+++ b/packages/model/src/persimmonyard/model/__init__.py
@@ -1,5 +1,30 @@
 """Types, result codes and errors that every package shares."""
 
+from persimmonyard.model.codec import Registry
+from persimmonyard.model.configuration import (
+    ClassSpec,
+    ClientAccountSpec,
+    ConfigurationChange,
+    Role,
+    ZoneSpec,
+)
 from persimmonyard.model.result import PersimmonyardError, ResultCode, UserError
+from persimmonyard.model.shape import MAX_GANG, Adjacency, Resources, Shape
+from persimmonyard.model.upstream import UpstreamSpec
 
-__all__ = ["PersimmonyardError", "ResultCode", "UserError"]
+__all__ = [
+    "MAX_GANG",
+    "Adjacency",
+    "ClassSpec",
+    "ClientAccountSpec",
+    "ConfigurationChange",
+    "PersimmonyardError",
+    "Registry",
+    "Resources",
+    "ResultCode",
+    "Role",
+    "Shape",
+    "UpstreamSpec",
+    "UserError",
+    "ZoneSpec",
+]
