--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,5 @@
 
 generate: setup
 	$(PYTHON) -m grpc_tools.protoc -I packages/wire/src \
-		--python_out=packages/wire/src --grpc_python_out=packages/wire/src \
+		--python_out=packages/wire/src --pyi_out=packages/wire/src --grpc_python_out=packages/wire/src \
 		persimmonyard/wire/generated/control.proto
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: replicated state and the controllers on top of it."""
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -0,0 +1,277 @@
+"""The controller that feeds the scheduler and commits its decisions."""
+
+import asyncio
+import time
+
+from persimmonyard.daemon.control.ledger import Ledger
+from persimmonyard.daemon.control.sessions import SessionController
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.model import PersimmonyardError
+from persimmonyard.scheduler import (
+    AttemptEnded,
+    AttemptPlaced,
+    AttemptRunning,
+    ClassChanged,
+    ClientAccountChanged,
+    Decision,
+    Event,
+    Job,
+    JobGone,
+    JobWaiting,
+    Place,
+    Preempt,
+    Quarantine,
+    Refuse,
+    Scheduler,
+    UpstreamDown,
+    UpstreamLeaving,
+    UpstreamUp,
+    ZoneChanged,
+)
+from persimmonyard.state import Change, ChangeKind
+from persimmonyard.state.commands import (
+    CommandResult,
+    PlaceAttempt,
+    RefuseRequest,
+    SetUpstreamStatus,
+    StopAttempt,
+)
+from persimmonyard.state.records import (
+    Attempt,
+    AttemptOutcome,
+    AttemptState,
+    RequestRecord,
+    RequestState,
+    UpstreamStatus,
+)
+
+__all__ = ["SchedulingController"]
+
+MAX_IDLE_S = 1.0
+REJECTED_BACKOFF_S = 0.2
+
+
+class SchedulingController:
+    """Run the scheduler while this replica leads."""
+
+    def __init__(self, ledger: Ledger, sessions: SessionController):
+        self._ledger = ledger
+        self._sessions = sessions
+        self._logger = get_logger("scheduling")
+        self._wake = asyncio.Event()
+        self.follow()
+
+    # Following the replicated state.
+
+    def lead(self) -> None:
+        """Build a scheduler from the replicated state."""
+        self.follow()
+        machine = self._ledger.machine
+        self._feed_configuration()
+        for upstream_id in machine.upstream_by_id:
+            self._feed_upstream(upstream_id)
+        for record in machine.request_by_id.values():
+            if not record.ended():
+                self._feed_request(record)
+        self._wake.set()
+
+    def follow(self) -> None:
+        """Drop the scheduler."""
+        self.scheduler = Scheduler()
+        self._told_by_attempt: dict[tuple[str, int], set[str]] = {}
+        self._told_zones: dict[str, bool] = {}
+        self._told_classes: dict[str, object] = {}
+        self._told_accounts: dict[str, object] = {}
+
+    def changed(self, changes: list[Change]) -> None:
+        """Tell the scheduler what has changed."""
+        machine = self._ledger.machine
+        for change in changes:
+            match change.kind:
+                case ChangeKind.CONFIGURATION:
+                    self._feed_configuration()
+                case ChangeKind.UPSTREAM:
+                    self._feed_upstream(change.item_id)
+                case ChangeKind.REQUEST:
+                    record = machine.request_by_id.get(change.item_id)
+                    if record is not None:
+                        self._feed_request(record)
+        self._wake.set()
+
+    def _observe(self, event: Event) -> None:
+        self.scheduler.observe(event, time.time())
+
+    def _feed_configuration(self) -> None:
+        configuration = self._ledger.machine.configuration
+        for name, zone in configuration.zone_by_name.items():
+            if self._told_zones.get(name) == zone.in_service:
+                continue
+            self._told_zones[name] = zone.in_service
+            self._observe(ZoneChanged(name, zone.in_service))
+        self._feed_items(self._told_classes, configuration.class_by_name, ClassChanged)
+        self._feed_items(
+            self._told_accounts,
+            configuration.client_account_by_name,
+            ClientAccountChanged,
+        )
+
+    def _feed_items(self, told: dict, by_name: dict, event_class: type) -> None:
+        for name, spec in by_name.items():
+            if told.get(name) == spec:
+                continue
+            told[name] = spec
+            self._observe(event_class(name, spec))
+        for name in list(told):
+            if name in by_name:
+                continue
+            del told[name]
+            self._observe(event_class(name, None))
+
+    def _feed_upstream(self, upstream_id: str) -> None:
+        known = self._ledger.machine.upstream_by_id[upstream_id]
+        match known.status:
+            case UpstreamStatus.UP | UpstreamStatus.QUARANTINED:
+                self._observe(UpstreamUp(known.spec))
+            case UpstreamStatus.LEAVING:
+                self._observe(UpstreamUp(known.spec))
+                self._observe(UpstreamLeaving(upstream_id))
+            case UpstreamStatus.LOST:
+                self._observe(UpstreamDown(upstream_id))
+
+    def _feed_request(self, record: RequestRecord) -> None:
+        job = _job_of(record)
+        for attempt in record.attempts:
+            self._feed_attempt(record, job, attempt)
+        if record.state == RequestState.ACCEPTED:
+            self._observe(JobWaiting(job))
+        if record.ended():
+            self._observe(JobGone(record.request_id))
+            for attempt in record.attempts:
+                self._told_by_attempt.pop((record.request_id, attempt.number), None)
+
+    def _feed_attempt(self, record: RequestRecord, job: Job, attempt: Attempt) -> None:
+        key = (record.request_id, attempt.number)
+        told = self._told_by_attempt.setdefault(key, set())
+        if "placed" not in told:
+            told.add("placed")
+            ids = tuple(member.upstream_id for member in attempt.members)
+            self._observe(AttemptPlaced(job, attempt.number, ids, attempt.borrowed))
+        if attempt.started_at is not None and "running" not in told:
+            told.add("running")
+            self._observe(
+                AttemptRunning(record.request_id, attempt.number, attempt.started_at)
+            )
+        if attempt.state == AttemptState.ENDED and "ended" not in told:
+            told.add("ended")
+            self._observe(_ended_event(record, attempt))
+
+    # Deciding.
+
+    async def run(self) -> None:
+        """Decide whenever something changed or is due."""
+        while True:
+            await self._wait()
+            self._wake.clear()
+            if not self._ledger.leading:
+                continue
+            if self._sessions.pick_entry() is None:
+                continue
+            decisions = self.scheduler.decide(time.time())
+            await asyncio.gather(*(self._carry_out(one) for one in decisions))
+
+    async def _wait(self) -> None:
+        due = self.scheduler.next_wakeup()
+        timeout = MAX_IDLE_S
+        if due is not None:
+            timeout = min(MAX_IDLE_S, max(0.01, due - time.time()))
+        try:
+            await asyncio.wait_for(self._wake.wait(), timeout)
+        except TimeoutError:
+            return
+
+    async def _carry_out(self, decision: Decision) -> None:
+        try:
+            match decision:
+                case Place():
+                    await self._place(decision)
+                case Preempt(request_id, number, checkpoint, _, reason):
+                    await self._ledger.commit(
+                        StopAttempt(request_id, number, checkpoint, reason.text)
+                    )
+                case Refuse(request_id, code, reason):
+                    await self._ledger.commit(
+                        RefuseRequest(request_id, code, reason.text)
+                    )
+                case Quarantine():
+                    await self._quarantine(decision)
+        except PersimmonyardError as error:
+            self._logger.warning("decision not committed", error=str(error))
+
+    async def _place(self, decision: Place) -> None:
+        entry_id = self._sessions.pick_entry()
+        result = CommandResult(code=1)
+        if entry_id is not None:
+            result = await self._ledger.commit(
+                PlaceAttempt(
+                    decision.request_id,
+                    decision.number,
+                    decision.upstream_ids,
+                    entry_id,
+                    decision.borrowed,
+                    decision.reason.text,
+                )
+            )
+        if result.code == 0:
+            return
+        self._observe(
+            AttemptEnded(decision.request_id, decision.number, "never_began", 0.0)
+        )
+        record = self._ledger.machine.request_by_id.get(decision.request_id)
+        if record is not None and record.state == RequestState.ACCEPTED:
+            self._observe(JobWaiting(_job_of(record, time.time() + REJECTED_BACKOFF_S)))
+
+    async def _quarantine(self, decision: Quarantine) -> None:
+        known = self._ledger.machine.upstream_by_id[decision.upstream_id]
+        await self._ledger.commit(
+            SetUpstreamStatus(
+                decision.upstream_id,
+                known.spec.incarnation,
+                UpstreamStatus.QUARANTINED,
+                decision.reason.text,
+                decision.until,
+            )
+        )
+
+
+def _job_of(record: RequestRecord, not_before: float = 0.0) -> Job:
+    avoid = set()
+    for attempt in record.attempts:
+        if attempt.outcome not in (AttemptOutcome.FAILED, AttemptOutcome.LOST):
+            continue
+        for index in [*attempt.failed_members, *attempt.lost_members]:
+            avoid.add(attempt.members[index].upstream_id)
+    return Job(
+        request_id=record.request_id,
+        client_account=record.client_account,
+        class_name=record.class_name,
+        shape=record.shape,
+        declared_run_s=record.declared_run_s,
+        idempotent=record.idempotent,
+        checkpointable=record.checkpointable,
+        submitted_at=record.submitted_at,
+        not_before=max(record.not_before, not_before),
+        avoid=frozenset(avoid),
+    )
+
+
+def _ended_event(record: RequestRecord, attempt: Attempt) -> AttemptEnded:
+    run_s = 0.0
+    if attempt.started_at is not None and attempt.ended_at is not None:
+        run_s = attempt.ended_at - attempt.started_at
+    failed_on = []
+    for index in attempt.failed_members:
+        failed_on.append(attempt.members[index].upstream_id)
+    outcome = attempt.outcome or AttemptOutcome.LOST
+    return AttemptEnded(
+        record.request_id, attempt.number, outcome.value, run_s, tuple(failed_on)
+    )
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/views.py
@@ -0,0 +1,120 @@
+"""What entries, callers and operators are shown of the replicated state."""
+
+from typing import Any
+
+import msgspec
+
+from persimmonyard.model import ResultCode
+from persimmonyard.state import StateMachine
+from persimmonyard.state.records import Attempt, AttemptState, RequestRecord
+from persimmonyard.state.requests import ever_started
+from persimmonyard.wire import (
+    DispatchAction,
+    DispatchMember,
+    DispatchOrder,
+    MemberAnswerView,
+    Outcome,
+)
+
+__all__ = ["explanation", "order_for", "outcome_of", "status"]
+
+
+def outcome_of(record: RequestRecord) -> Outcome:
+    """Return the state of a request as its caller sees it."""
+    answers = []
+    for answer in record.answers:
+        answers.append(MemberAnswerView(answer.body, answer.digest))
+    return Outcome(
+        request_id=record.request_id,
+        client_account=record.client_account,
+        state=record.state.value,
+        code=int(record.code),
+        message=record.message,
+        not_run=record.ended() and not ever_started(record),
+        ended=record.ended(),
+        answers=tuple(answers),
+    )
+
+
+def order_for(
+    machine: StateMachine, record: RequestRecord, attempt: Attempt, taken_over: bool
+) -> DispatchOrder:
+    """Return what the dispatcher of an attempt must do now."""
+    action = DispatchAction.RUN
+    if attempt.state == AttemptState.STARTED and taken_over:
+        action = DispatchAction.ADOPT
+    if attempt.state == AttemptState.STOPPING:
+        action = DispatchAction.STOP
+    members = []
+    for index, member in enumerate(attempt.members):
+        spec = machine.upstream_by_id[member.upstream_id].spec
+        lost = index in attempt.lost_members
+        members.append(
+            DispatchMember(
+                member.upstream_id, member.incarnation, spec.zone, spec.address, lost
+            )
+        )
+    return DispatchOrder(
+        request_id=record.request_id,
+        number=attempt.number,
+        fence=attempt.fence,
+        action=action,
+        members=tuple(members),
+        accelerators=record.shape.accelerators,
+        cores=record.shape.cores,
+        memory_mb=record.shape.memory_mb,
+        declared_run_s=record.declared_run_s,
+        idempotent=record.idempotent,
+        payload=record.payload,
+        checkpoint=record.checkpoint,
+        checkpoint_wanted=attempt.checkpoint_wanted,
+    )
+
+
+def explanation(record: RequestRecord, waiting: str) -> dict[str, Any]:
+    """Return why a request is where it is, and where it ran."""
+    attempts = []
+    for attempt in record.attempts:
+        attempts.append(
+            {
+                "number": attempt.number,
+                "upstreams": [member.upstream_id for member in attempt.members],
+                "state": attempt.state.value,
+                "outcome": attempt.outcome,
+                "borrowed": attempt.borrowed,
+                "reason": attempt.stop_reason,
+            }
+        )
+    return {
+        "request": record.request_id,
+        "state": record.state.value,
+        "code": int(record.code),
+        "code_name": ResultCode(record.code).name,
+        "message": record.message,
+        "waiting_because": waiting,
+        "attempts": attempts,
+        "history": msgspec.to_builtins(record.history),
+    }
+
+
+def status(machine: StateMachine) -> dict[str, Any]:
+    """Return counts and the state of every upstream."""
+    count_by_state: dict[str, int] = {}
+    for record in machine.request_by_id.values():
+        count_by_state[record.state] = count_by_state.get(record.state, 0) + 1
+    upstreams = []
+    for known in machine.upstream_by_id.values():
+        upstreams.append(
+            {
+                "upstream": known.spec.upstream_id,
+                "zone": known.spec.zone,
+                "rack": known.spec.rack,
+                "status": known.status.value,
+                "requests": len(machine.request_ids_on(known.spec.upstream_id)),
+            }
+        )
+    return {
+        "configuration_version": machine.configuration.version,
+        "requests": count_by_state,
+        "upstreams": upstreams,
+    }
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers' HTTP, announcements and dispatch."""
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/timing.py
@@ -0,0 +1,26 @@
+"""Durations of leases, beats and timeouts, in seconds.
+
+``docs/design.md`` section 13 relates them to each other.
+"""
+
+__all__ = [
+    "BEAT_S",
+    "CLOCK_MARGIN",
+    "ENTRY_LEASE_S",
+    "RENEWAL_S",
+    "START_PERMIT_S",
+    "TASK_LEASE_S",
+    "UPSTREAM_HEARTBEAT_S",
+    "UPSTREAM_LEASE_S",
+]
+
+ENTRY_LEASE_S = 2.0
+BEAT_S = 0.6
+START_PERMIT_S = 2.0
+UPSTREAM_LEASE_S = 10.0
+UPSTREAM_HEARTBEAT_S = 3.0
+TASK_LEASE_S = 15.0
+RENEWAL_S = 3.0
+# The granter of a lease waits this much longer than its holder trusts it,
+# because clock rates may differ by up to 10%.
+CLOCK_MARGIN = 1.1
--- a/packages/state/src/persimmonyard/state/machine.py
+++ b/packages/state/src/persimmonyard/state/machine.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from persimmonyard.model import ResultCode
+from persimmonyard.model import ConfigurationChange, ResultCode
 from persimmonyard.state.commands import (
     AcknowledgeAnswer,
     ApplyConfiguration,
@@ -41,6 +41,7 @@
 __all__ = ["Change", "ChangeKind", "StateMachine"]
 
 IDENTITY_RETENTION_S = 3_600.0
+RECENT_CHANGES = 1_000
 
 
 class ChangeKind(StrEnum):
@@ -85,6 +86,7 @@
     def __init__(self) -> None:
         self._contents = _Contents()
         self._changes: list[Change] = []
+        self.recent_changes: dict[int, tuple[ConfigurationChange, ...]] = {}
         self._rebuild_indexes()
 
     # Reading.
@@ -129,6 +131,7 @@
         """Replace the whole state by that of a snapshot."""
         self._contents = msgspec.msgpack.decode(data, type=_Contents)
         self._changes = []
+        self.recent_changes = {}
         self._rebuild_indexes()
 
     def _rebuild_indexes(self) -> None:
@@ -218,6 +221,9 @@
         for change in command.changes:
             self.configuration.apply(change)
         self.configuration.version += 1
+        version = self.configuration.version
+        self.recent_changes[version] = command.changes
+        self.recent_changes.pop(version - RECENT_CHANGES, None)
         self._note(ChangeKind.CONFIGURATION, str(self.configuration.version))
         return CommandResult(version=self.configuration.version)
 
--- a/packages/wire/src/persimmonyard/wire/__init__.py
+++ b/packages/wire/src/persimmonyard/wire/__init__.py
@@ -1,1 +1,29 @@
 """Messages between persimmonyard processes."""
+
+from persimmonyard.wire.session import (
+    ConfigurationUpdate,
+    DispatchAction,
+    DispatchMember,
+    DispatchOrder,
+    EntryBeat,
+    LeaderBeat,
+    MemberAnswerView,
+    NotLeader,
+    Outcome,
+    UpstreamHeartbeat,
+    session_registry,
+)
+
+__all__ = [
+    "ConfigurationUpdate",
+    "DispatchAction",
+    "DispatchMember",
+    "DispatchOrder",
+    "EntryBeat",
+    "LeaderBeat",
+    "MemberAnswerView",
+    "NotLeader",
+    "Outcome",
+    "UpstreamHeartbeat",
+    "session_registry",
+]
--- /dev/null
+++ b/test/daemon/test_whole_path.py
@@ -0,0 +1,73 @@
+"""Tests of the path from a caller to upstreams and back, in processes."""
+
+import base64
+import tempfile
+import unittest
+from pathlib import Path
+
+import httpx
+
+from persimmonyard.daemon.tokens import hash_token
+from persimmonyard.standin.deployment import Deployment
+
+CLIENT_TOKEN = "clinic-token"
+
+
+class WholePathTests(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.deployment = Deployment(Path(folder.name), controls=1, entries=2)
+        cls.addClassCleanup(cls.deployment.stop)
+        cls.deployment.start()
+        cls.deployment.start_upstream("up-1", "karen-bench", "rack-1")
+        cls.deployment.start_upstream("up-2", "ngong-store", "rack-1")
+        account = {"name": "clinic", "token_hashes": [hash_token(CLIENT_TOKEN)]}
+        changes = [{"work_class": {"name": "fit"}}, {"client_account": account}]
+        cls.operate({"changes": changes, "wait_s": 20.0})
+
+    @classmethod
+    def operate(cls, body):
+        """Apply configuration changes and wait until they are in force."""
+        reply = httpx.post(
+            f"{cls.deployment.entry_url(1)}/v1/operator/configuration",
+            json=body,
+            headers={"Authorization": f"Bearer {cls.deployment.operator_token}"},
+            timeout=30.0,
+        ).json()
+        assert reply["in_force"], reply
+
+    def submit(self, entry, **fields):
+        """Submit a request through one entry and return the reply's body."""
+        body = {
+            "class": "fit",
+            "declared_run_s": 1.0,
+            "idempotent": True,
+            "payload": base64.b64encode(b"scan").decode(),
+            "wait_s": 30.0,
+        }
+        return httpx.post(
+            f"{self.deployment.entry_url(entry)}/v1/requests",
+            json=body | fields,
+            headers={"Authorization": f"Bearer {CLIENT_TOKEN}"},
+            timeout=60.0,
+        ).json()
+
+    def test_gang_gets_the_answers_of_all_members(self):
+        """Every member's answer comes back, in the order of members."""
+        reply = self.submit(1, key="gang", shape={"gang": 3, "accelerators": 4})
+        bodies = [base64.b64decode(one["body"]) for one in reply["answers"]]
+        self.assertEqual(bodies, [b"answer:%d:scan" % n for n in range(3)])
+
+    def test_resend_through_another_entry_joins_the_first_request(self):
+        """The same key gives the same request whichever entry is asked."""
+        first = self.submit(1, key="same")
+        second = self.submit(2, key="same")
+        self.assertEqual(first, second)
+
+    def test_key_with_another_body_is_refused(self):
+        """A key that was used for other work gets code 400."""
+        self.submit(1, key="reused")
+        reply = self.submit(2, key="reused", payload="")
+        self.assertEqual((reply["code"], reply["not_run"]), (400, True))
--- /dev/null
+++ b/test/state/test_machine.py
@@ -0,0 +1,92 @@
+"""Tests of persimmonyard.state.machine."""
+
+import unittest
+
+from persimmonyard.model import (
+    ClassSpec,
+    ClientAccountSpec,
+    ConfigurationChange,
+    ResultCode,
+    Shape,
+    UpstreamSpec,
+    ZoneSpec,
+)
+from persimmonyard.state import StateMachine
+from persimmonyard.state.commands import (
+    ApplyConfiguration,
+    CancelRequest,
+    LogRecord,
+    PlaceAttempt,
+    RegisterUpstream,
+    StartAttempt,
+    SubmitRequest,
+)
+
+UPSTREAM = UpstreamSpec("up-1", "a", "z1", "rack-1", "127.0.0.1:1", 8, 64, 1_000)
+
+
+class StateMachineTests(unittest.TestCase):
+    def setUp(self):
+        self.machine = StateMachine()
+        self.time = 0.0
+        changes = (
+            ConfigurationChange(work_class=ClassSpec("fit")),
+            ConfigurationChange(client_account=ClientAccountSpec("clinic")),
+        )
+        self.run_command(ApplyConfiguration(changes))
+        self.run_command(RegisterUpstream(UPSTREAM))
+        self.run_command(
+            SubmitRequest(
+                "r-1", "clinic", "fit", "k", "d", Shape(), 1.0, False, False, b""
+            )
+        )
+
+    def run_command(self, command, identity=""):
+        """Apply one command a second after the last one."""
+        self.time += 1.0
+        return self.machine.apply_record(LogRecord(identity, self.time, command))
+
+    def test_cancel_before_start_forbids_the_start(self):
+        """A request cancelled as not run can never be started later."""
+        placed = self.run_command(PlaceAttempt("r-1", 1, ("up-1",), "e"))
+        self.run_command(CancelRequest("r-1", "clinic"))
+        started = self.run_command(StartAttempt("r-1", 1, placed.fence))
+        self.assertEqual(started.code, ResultCode.UNKNOWN_ATTEMPT)
+        self.assertEqual(
+            self.machine.request_by_id["r-1"].code, ResultCode.CANCELLED_NOT_RUN
+        )
+
+    def test_start_is_refused_in_a_zone_out_of_service(self):
+        """A zone change that is committed first prevents the start."""
+        placed = self.run_command(PlaceAttempt("r-1", 1, ("up-1",), "e"))
+        change = ConfigurationChange(zone=ZoneSpec("z1", in_service=False))
+        self.run_command(ApplyConfiguration((change,)))
+        started = self.run_command(StartAttempt("r-1", 1, placed.fence))
+        self.assertEqual(started.code, ResultCode.IN_USE)
+
+    def test_resent_command_gets_its_first_result(self):
+        """An operator who resends after a lost answer changes nothing."""
+        change = ConfigurationChange(zone=ZoneSpec("z1", in_service=False))
+        command = ApplyConfiguration((change,), expected_version=1)
+        first = self.run_command(command, "op-1")
+        second = self.run_command(command, "op-1")
+        self.assertEqual(first, second)
+
+    def test_racing_operators_get_one_winner(self):
+        """The second command for the same version gets a conflict."""
+        change = ConfigurationChange(zone=ZoneSpec("z1", in_service=False))
+        command = ApplyConfiguration((change,), expected_version=1)
+        first = self.run_command(command, "op-1")
+        second = self.run_command(command, "op-2")
+        self.assertEqual(
+            (first.code, second.code, second.version),
+            (0, ResultCode.VERSION_CONFLICT, 2),
+        )
+
+    def test_snapshot_restores_the_same_state(self):
+        """A replica that starts from a snapshot equals one that replayed."""
+        self.run_command(PlaceAttempt("r-1", 1, ("up-1",), "e"))
+        other = StateMachine()
+        other.restore(self.machine.snapshot())
+        self.assertEqual(other.snapshot(), self.machine.snapshot())
+        self.assertEqual(other.request_ids_on("up-1"), {"r-1"})
