Split sessions, assignments and liveness of the control leader

Cause: one controller kept leases, dispatch and pushes; a lost upstream never returned; two guarantee changes could be checked against the same state; reads did not look at the quorum lease; a liveness check scanned every upstream.

--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/assignments.py
@@ -0,0 +1,180 @@
+"""Which entry dispatches which attempt."""
+
+import asyncio
+
+from persimmonyard.daemon.control.entry_session import EntrySession
+from persimmonyard.daemon.control.ledger import Ledger
+from persimmonyard.daemon.control.sessions import SessionController
+from persimmonyard.daemon.control.views import order_for, outcome_of
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.model import PersimmonyardError
+from persimmonyard.state import Change, ChangeKind
+from persimmonyard.state.commands import AssignDispatch
+from persimmonyard.state.records import AttemptState, RequestRecord
+
+__all__ = ["AssignmentController"]
+
+LAPSE_CHECK_S = 0.2
+# Reassignments in one round; they share a group commit.
+REASSIGNMENTS_AT_ONCE = 256
+
+
+class AssignmentController:
+    """Send orders and outcomes, and move attempts off lapsed entries."""
+
+    def __init__(self, ledger: Ledger, sessions: SessionController):
+        self._ledger = ledger
+        self._sessions = sessions
+        self._logger = get_logger("assignments")
+        self._request_ids_by_entry: dict[str, set[str]] = {}
+        self._entry_by_request: dict[str, str] = {}
+
+    # Following the replicated state.
+
+    def lead(self) -> None:
+        """Index the live attempts by entry."""
+        self.follow()
+        for record in self._ledger.machine.request_by_id.values():
+            self._index(record)
+
+    def follow(self) -> None:
+        """Drop the index."""
+        self._request_ids_by_entry = {}
+        self._entry_by_request = {}
+
+    def changed(self, changes: list[Change]) -> None:
+        """Send what the change of a request calls for."""
+        for change in changes:
+            if change.kind != ChangeKind.REQUEST:
+                continue
+            record = self._ledger.machine.request_by_id.get(change.item_id)
+            if record is None:
+                continue
+            self._index(record)
+            if record.ended():
+                self._send_outcome(record)
+            self._send_order(record)
+
+    # Sessions.
+
+    def count(self, entry_id: str) -> int:
+        """Return the number of live attempts of an entry."""
+        return len(self._request_ids_by_entry.get(entry_id, ()))
+
+    def opened(self, session: EntrySession) -> None:
+        """Send an entry that has connected all its attempts."""
+        for request_id in list(self._request_ids_by_entry.get(session.entry_id, ())):
+            self._send_order(self._ledger.machine.request_by_id[request_id])
+
+    def pick_entry(self) -> str | None:
+        """Return the entry with the fewest attempts that accepts work."""
+        best = None
+        for entry_id in self._sessions.session_by_entry:
+            if not self._sessions.accepts_work(entry_id):
+                continue
+            if best is None or self.count(entry_id) < self.count(best):
+                best = entry_id
+        return best
+
+    def state(self) -> dict[str, int]:
+        """Return the number of attempts by entry for the state dump."""
+        count_by_entry = {}
+        for entry_id, request_ids in self._request_ids_by_entry.items():
+            count_by_entry[entry_id] = len(request_ids)
+        return count_by_entry
+
+    # Reassignment.
+
+    async def run(self) -> None:
+        """Move attempts away from entries that lapsed or are stopping."""
+        while True:
+            await asyncio.sleep(LAPSE_CHECK_S)
+            if not self._ledger.leads():
+                continue
+            self._sessions.drop_lapsed()
+            request_ids = self._orphans()
+            await asyncio.gather(*(self._reassign(one) for one in request_ids))
+
+    def _orphans(self) -> list[str]:
+        """Return some attempts whose entry no longer accepts work.
+
+        Entries that held a lease from an earlier leader get the time to
+        connect before their attempts move.
+        """
+        settled = self._sessions.settled()
+        orphans: list[str] = []
+        for entry_id, request_ids in self._request_ids_by_entry.items():
+            if self._sessions.accepts_work(entry_id):
+                continue
+            if not settled and not self._sessions.is_live(entry_id):
+                continue
+            for request_id in request_ids:
+                if len(orphans) == REASSIGNMENTS_AT_ONCE:
+                    return orphans
+                orphans.append(request_id)
+        return orphans
+
+    async def _reassign(self, request_id: str) -> None:
+        record = self._ledger.machine.request_by_id.get(request_id)
+        attempt = record.live_attempt() if record is not None else None
+        entry_id = self.pick_entry()
+        if attempt is None or entry_id is None:
+            return
+        try:
+            await self._ledger.commit(
+                AssignDispatch(request_id, attempt.number, entry_id)
+            )
+        except PersimmonyardError as error:
+            self._logger.warning(
+                "reassignment not committed", request=request_id, error=str(error)
+            )
+
+    # Helpers.
+
+    def _index(self, record: RequestRecord) -> None:
+        attempt = record.live_attempt()
+        entry_id = attempt.entry_id if attempt is not None else None
+        known = self._entry_by_request.get(record.request_id)
+        if known == entry_id:
+            return
+        if known is not None:
+            del self._entry_by_request[record.request_id]
+            self._remove(known, record.request_id)
+        if entry_id is not None:
+            self._entry_by_request[record.request_id] = entry_id
+            request_ids = self._request_ids_by_entry.setdefault(entry_id, set())
+            request_ids.add(record.request_id)
+
+    def _remove(self, entry_id: str, request_id: str) -> None:
+        request_ids = self._request_ids_by_entry[entry_id]
+        request_ids.discard(request_id)
+        if not request_ids:
+            del self._request_ids_by_entry[entry_id]
+        session = self._sessions.session_by_entry.get(entry_id)
+        if session is not None:
+            session.sent_by_request.pop(request_id, None)
+
+    def _send_order(self, record: RequestRecord) -> None:
+        attempt = record.live_attempt()
+        if attempt is None:
+            return
+        session = self._sessions.session_by_entry.get(attempt.entry_id)
+        if session is None:
+            return
+        sent = session.sent_by_request.get(record.request_id)
+        current = (attempt.fence, attempt.state.value)
+        if sent == current:
+            return
+        session.sent_by_request[record.request_id] = current
+        taken_over = sent is None or sent[0] != attempt.fence
+        if attempt.state == AttemptState.STARTED and not taken_over:
+            return
+        order = order_for(self._ledger.machine, record, attempt, taken_over)
+        session.push(orders=(order,))
+
+    def _send_outcome(self, record: RequestRecord) -> None:
+        for session in self._sessions.session_by_entry.values():
+            if record.request_id not in session.watched_ids:
+                continue
+            session.watched_ids.discard(record.request_id)
+            session.push(outcomes=(outcome_of(record),))
--- a/packages/daemon/src/persimmonyard/daemon/control/ledger.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/ledger.py
@@ -1,6 +1,7 @@
 """The replicated state machine as the controllers see it."""
 
 import time
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from persimmonyard.daemon.logs import get_logger
@@ -30,9 +31,14 @@
 
 
 class Ledger:
-    """Apply committed entries, tell controllers, and commit commands."""
+    """Apply committed entries, tell controllers, and commit commands.
 
-    def __init__(self) -> None:
+    ``clock`` gives seconds that never go backwards; controllers measure
+    leases with it.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
         self.machine = StateMachine()
         self.controllers: list[Controller] = []
         self.replica: Replica | None = None
@@ -56,6 +62,13 @@
         """Replace the whole state."""
         self.machine.restore(data)
 
+    def leads(self) -> bool:
+        """Return whether this replica leads under a valid quorum lease now.
+
+        Reads are answered and leases granted only while this is true.
+        """
+        return self.leading and self.replica is not None and self.replica.is_leader()
+
     def check_leadership(self) -> None:
         """Start or stop the controllers when leadership has changed."""
         assert self.replica is not None
--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -7,7 +7,9 @@
 import grpc
 from litestar import Litestar, get
 
+from persimmonyard.daemon.control.assignments import AssignmentController
 from persimmonyard.daemon.control.ledger import Ledger
+from persimmonyard.daemon.control.retention import RetentionController
 from persimmonyard.daemon.control.scheduling import SchedulingController
 from persimmonyard.daemon.control.service import ControlService
 from persimmonyard.daemon.control.sessions import SessionController
@@ -32,12 +34,16 @@
         self._logger = get_logger("control")
         self._ledger = Ledger()
         self._sessions = SessionController(self._ledger)
-        self._scheduling = SchedulingController(self._ledger, self._sessions)
+        self._assignments = AssignmentController(self._ledger, self._sessions)
+        self._scheduling = SchedulingController(self._ledger, self._assignments)
         self._upstreams = UpstreamController(self._ledger)
+        self._retention = RetentionController(self._ledger)
         self._ledger.controllers = [
             self._sessions,
+            self._assignments,
             self._scheduling,
             self._upstreams,
+            self._retention,
         ]
         self._tasks: list[asyncio.Task] = []
 
@@ -50,7 +56,11 @@
         await replica.start()
         self._server = grpc.aio.server()
         service = ControlService(
-            self._ledger, self._sessions, self._scheduling, self._upstreams
+            self._ledger,
+            self._sessions,
+            self._assignments,
+            self._scheduling,
+            self._upstreams,
         )
         control_pb2_grpc.add_ControlServicer_to_server(service, self._server)
         port = self._server.add_insecure_port(settings.control.address)
@@ -64,9 +74,10 @@
         await self._http.start()
         for run in (
             self._watch_leadership,
-            self._sessions.run,
+            self._assignments.run,
             self._scheduling.run,
             self._upstreams.run,
+            self._retention.run,
         ):
             self._tasks.append(asyncio.create_task(run()))
         self._logger.info("listening", grpc_port=port, http_port=self._http.port)
@@ -92,8 +103,11 @@
         async def dump() -> dict[str, Any]:
             return {
                 "process": self._settings.process.name,
-                "leading": ledger.leading,
+                "leading": ledger.leads(),
                 "state": status(ledger.machine),
+                "sessions": self._sessions.state(),
+                "attempts_by_entry": self._assignments.state(),
+                "heartbeats": self._upstreams.state(),
             }
 
         @get("/health")
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/retention.py
@@ -0,0 +1,54 @@
+"""Removal of ended requests whose retention has passed."""
+
+import asyncio
+import time
+
+from persimmonyard.daemon.control.ledger import Ledger
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.model import PersimmonyardError
+from persimmonyard.state import Change
+from persimmonyard.state.commands import ExpireRecords
+
+__all__ = ["RetentionController"]
+
+RETENTION_S = 86_400.0
+RETENTION_CHECK_S = 60.0
+EXPIRED_PER_COMMAND = 1_000
+
+
+class RetentionController:
+    """Commit the removal of records that nobody may ask for any more."""
+
+    def __init__(self, ledger: Ledger):
+        self._ledger = ledger
+        self._logger = get_logger("retention")
+
+    def lead(self) -> None:
+        """Do nothing: what is due follows from the replicated state."""
+
+    def follow(self) -> None:
+        """Do nothing: there is no volatile state."""
+
+    def changed(self, changes: list[Change]) -> None:
+        """Do nothing: records become due by time only."""
+
+    async def run(self) -> None:
+        """Remove what is due once a minute."""
+        while True:
+            await asyncio.sleep(RETENTION_CHECK_S)
+            if self._ledger.leads():
+                await self._expire(time.time() - RETENTION_S)
+
+    async def _expire(self, before: float) -> None:
+        while self._due(before):
+            try:
+                await self._ledger.commit(ExpireRecords(before, EXPIRED_PER_COMMAND))
+            except PersimmonyardError as error:
+                self._logger.warning("removal not committed", error=str(error))
+                return
+
+    def _due(self, before: float) -> bool:
+        for record in self._ledger.machine.request_by_id.values():
+            if record.ended_at is not None and record.ended_at < before:
+                return True
+        return False
--- a/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -3,8 +3,8 @@
 import asyncio
 import time
 
+from persimmonyard.daemon.control.assignments import AssignmentController
 from persimmonyard.daemon.control.ledger import Ledger
-from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.model import PersimmonyardError
 from persimmonyard.scheduler import (
@@ -54,9 +54,9 @@
 class SchedulingController:
     """Run the scheduler while this replica leads."""
 
-    def __init__(self, ledger: Ledger, sessions: SessionController):
+    def __init__(self, ledger: Ledger, assignments: AssignmentController):
         self._ledger = ledger
-        self._sessions = sessions
+        self._assignments = assignments
         self._logger = get_logger("scheduling")
         self._wake = asyncio.Event()
         self.follow()
@@ -172,9 +172,9 @@
         while True:
             await self._wait()
             self._wake.clear()
-            if not self._ledger.leading:
+            if not self._ledger.leads():
                 continue
-            if self._sessions.pick_entry() is None:
+            if self._assignments.pick_entry() is None:
                 continue
             decisions = self.scheduler.decide(time.time())
             await asyncio.gather(*(self._carry_out(one) for one in decisions))
@@ -208,7 +208,7 @@
             self._logger.warning("decision not committed", error=str(error))
 
     async def _place(self, decision: Place) -> None:
-        entry_id = self._sessions.pick_entry()
+        entry_id = self._assignments.pick_entry()
         result = CommandResult(code=1)
         if entry_id is not None:
             result = await self._ledger.commit(
--- a/packages/daemon/src/persimmonyard/daemon/control/service.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/service.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from persimmonyard.daemon.control.assignments import AssignmentController
+from persimmonyard.daemon.control.entry_session import EntrySession
 from persimmonyard.daemon.control.ledger import Ledger
 from persimmonyard.daemon.control.scheduling import SchedulingController
-from persimmonyard.daemon.control.sessions import EntrySession, SessionController
+from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.daemon.control.upstreams import UpstreamController
 from persimmonyard.daemon.control.views import explanation, outcome_of, status
 from persimmonyard.model import PersimmonyardError, ResultCode
@@ -18,7 +20,12 @@
     RegisterUpstream,
     command_registry,
 )
-from persimmonyard.wire import NotLeader, UpstreamHeartbeat, session_registry
+from persimmonyard.wire import (
+    EntryBeat,
+    NotLeader,
+    UpstreamHeartbeat,
+    session_registry,
+)
 from persimmonyard.wire.generated import control_pb2, control_pb2_grpc
 
 __all__ = ["ControlService"]
@@ -31,17 +38,21 @@
         self,
         ledger: Ledger,
         sessions: SessionController,
+        assignments: AssignmentController,
         scheduling: SchedulingController,
         upstreams: UpstreamController,
     ):
         self._ledger = ledger
         self._sessions = sessions
+        self._assignments = assignments
         self._scheduling = scheduling
         self._upstreams = upstreams
+        # Two changes of guarantees that fit one by one need not fit together.
+        self._guarantee_lock = asyncio.Lock()
 
     async def Execute(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Execute commands; each gets its own result."""
-        if not self._ledger.leading:
+        if not self._ledger.leads():
             return self._not_leader(control_pb2.ExecuteReply)
         calls = []
         for one in request.commands:
@@ -55,7 +66,7 @@
     async def _execute_one(self, command: Any, identity: str) -> CommandResult:
         try:
             if isinstance(command, ApplyConfiguration):
-                self._check_guarantees(command)
+                return await self._apply_configuration(command, identity)
             result = await self._ledger.commit(command, identity)
         except PersimmonyardError as error:
             return CommandResult.failed(error.code, error.message)
@@ -66,6 +77,14 @@
             self._upstreams.heard((heartbeat,))
         return result
 
+    async def _apply_configuration(
+        self, command: ApplyConfiguration, identity: str
+    ) -> CommandResult:
+        async with self._guarantee_lock:
+            if self._ledger.machine.known_result(identity) is None:
+                self._check_guarantees(command)
+            return await self._ledger.commit(command, identity)
+
     def _check_guarantees(self, command: ApplyConfiguration) -> None:
         configuration = self._ledger.machine.configuration
         accounts = dict(configuration.client_account_by_name)
@@ -85,7 +104,7 @@
 
     async def Query(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Answer a read under the quorum lease."""
-        if not self._ledger.leading:
+        if not self._ledger.leads():
             return self._not_leader(control_pb2.QueryReply)
         try:
             body = await self._query(request.kind, request.item_id)
@@ -123,36 +142,41 @@
         self, request_iterator: AsyncIterator[Any], context: Any
     ) -> AsyncIterator[Any]:
         """Serve the stream of one entry."""
-        if not self._ledger.leading:
+        if not self._ledger.leads():
             assert self._ledger.replica is not None
             refusal = NotLeader(self._ledger.replica.leader_hint())
             yield control_pb2.Envelope(body=session_registry.encode(refusal))
             return
         first = session_registry.decode((await anext(request_iterator)).body)
         session = self._sessions.open(first)
-        self._upstreams.heard(first.heartbeats)
-        self._sessions.beat(session, first)
+        self._take_beat(session, first)
+        self._assignments.opened(session)
         reader = asyncio.create_task(self._read_beats(session, request_iterator))
         try:
-            while self._ledger.leading and not reader.done():
+            while not session.closed and not reader.done():
                 try:
                     beat = await asyncio.wait_for(session.outbox.get(), 1.0)
                 except TimeoutError:
                     continue
+                if not self._ledger.leads():
+                    return
                 yield control_pb2.Envelope(body=session_registry.encode(beat))
         finally:
             reader.cancel()
-            self._sessions.close(session)
 
     async def _read_beats(
         self, session: EntrySession, request_iterator: AsyncIterator[Any]
     ) -> None:
         async for envelope in request_iterator:
             beat = session_registry.decode(envelope.body)
-            if not self._ledger.leading:
+            if not self._ledger.leads():
                 return
-            self._upstreams.heard(beat.heartbeats)
-            self._sessions.beat(session, beat)
+            self._take_beat(session, beat)
+
+    def _take_beat(self, session: EntrySession, beat: EntryBeat) -> None:
+        self._upstreams.heard(beat.heartbeats)
+        assigned = self._assignments.count(session.entry_id)
+        self._sessions.beat(session, beat, assigned)
 
     def _not_leader(self, reply_class: Any) -> Any:
         assert self._ledger.replica is not None
--- a/packages/daemon/src/persimmonyard/daemon/control/sessions.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/sessions.py
@@ -1,259 +1,191 @@
-"""Sessions of entries: leases, configuration in force, dispatch."""
+"""Sessions of entries: leases and the configuration in force."""
 
 import asyncio
-import time
-from dataclasses import dataclass, field
 
+from persimmonyard.daemon.control.entry_session import EntrySession
 from persimmonyard.daemon.control.ledger import Ledger
-from persimmonyard.daemon.control.views import order_for, outcome_of
+from persimmonyard.daemon.control.views import outcome_of
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.timing import CLOCK_MARGIN, ENTRY_LEASE_S
-from persimmonyard.model import PersimmonyardError
+from persimmonyard.model import ConfigurationChange
 from persimmonyard.state import Change, ChangeKind
-from persimmonyard.state.commands import AssignDispatch
-from persimmonyard.state.records import AttemptState, RequestRecord
-from persimmonyard.wire import (
-    ConfigurationUpdate,
-    DispatchOrder,
-    EntryBeat,
-    LeaderBeat,
-    Outcome,
-)
+from persimmonyard.wire import ConfigurationUpdate, EntryBeat, LeaderBeat
 
-__all__ = ["EntrySession", "SessionController"]
+__all__ = ["SessionController"]
 
-EXPIRY_CHECK_S = 0.2
-
-
-@dataclass
-class EntrySession:
-    """The stream of one entry process."""
-
-    entry_id: str
-    zone: str
-    expires_at: float
-    outbox: asyncio.Queue[LeaderBeat] = field(default_factory=asyncio.Queue)
-    confirmed_version: int = 0
-    sent_version: int = 0
-    stopping: bool = False
-    watched_ids: set[str] = field(default_factory=set)
-    sent_fence_by_id: dict[str, tuple[int, str]] = field(default_factory=dict)
-
-    def push(
-        self,
-        update: ConfigurationUpdate | None = None,
-        orders: tuple[DispatchOrder, ...] = (),
-        outcomes: tuple[Outcome, ...] = (),
-    ) -> None:
-        """Send something outside the reply to a beat."""
-        self.outbox.put_nowait(LeaderBeat(0, 0.0, update, orders, outcomes))
+IN_FORCE_CHECK_S = 0.05
 
 
 class SessionController:
-    """Keep the sessions of entries and give them their attempts."""
+    """Grant leases to entries and know which configuration each one has.
+
+    A version is in force once every entry has confirmed it or has let its
+    lease lapse.  Leases granted by an earlier leader are unknown here, so
+    nothing is in force before one full lease after the election.
+    """
 
     def __init__(self, ledger: Ledger):
         self._ledger = ledger
         self._logger = get_logger("sessions")
-        self._session_by_entry: dict[str, EntrySession] = {}
-        self._request_ids_by_entry: dict[str, set[str]] = {}
-        self._entry_by_request_id: dict[str, str] = {}
         self._led_since = 0.0
-        self._confirmed = asyncio.Condition()
+        self.session_by_entry: dict[str, EntrySession] = {}
 
     # Following the replicated state.
 
     def lead(self) -> None:
         """Start without sessions; entries connect again."""
         self.follow()
-        self._led_since = time.monotonic()
-        for record in self._ledger.machine.request_by_id.values():
-            self._index(record)
+        self._led_since = self._ledger.clock()
 
     def follow(self) -> None:
-        """Drop all sessions."""
-        self._session_by_entry = {}
-        self._request_ids_by_entry = {}
-        self._entry_by_request_id = {}
+        """Close all sessions."""
+        for session in self.session_by_entry.values():
+            session.closed = True
+        self.session_by_entry = {}
 
     def changed(self, changes: list[Change]) -> None:
-        """Push what entries must know."""
+        """Push a new configuration to every entry."""
         for change in changes:
-            if change.kind == ChangeKind.CONFIGURATION:
-                for session in self._session_by_entry.values():
-                    self._push_configuration(session)
-                continue
-            if change.kind != ChangeKind.REQUEST:
+            if change.kind != ChangeKind.CONFIGURATION:
                 continue
-            record = self._ledger.machine.request_by_id.get(change.item_id)
-            if record is not None:
-                self._index(record)
-                self._push_request(record)
+            for session in self.session_by_entry.values():
+                self._push_configuration(session)
 
     # Streams.
 
     def open(self, beat: EntryBeat) -> EntrySession:
-        """Return a new session for the entry that sent ``beat``."""
-        session = EntrySession(beat.entry_id, beat.zone, self._expiry())
-        self._session_by_entry[beat.entry_id] = session
+        """Return a new session for the entry that sent its first ``beat``."""
+        previous = self.session_by_entry.get(beat.entry_id)
+        if previous is not None:
+            previous.closed = True
+        session = EntrySession(
+            entry_id=beat.entry_id,
+            zone=beat.zone,
+            expires_at=self._expiry(),
+            sent_version=beat.configuration_version,
+            confirmed_version=beat.configuration_version,
+        )
+        self.session_by_entry[beat.entry_id] = session
         self._logger.info("session opened", entry=beat.entry_id)
         return session
 
-    def beat(self, session: EntrySession, beat: EntryBeat) -> None:
-        """Extend a session and answer the beat."""
+    def beat(self, session: EntrySession, beat: EntryBeat, assigned: int) -> None:
+        """Extend a session and answer the beat.
+
+        The update goes out before the lease: an entry that sees the lease
+        extended has the version that was current when it was granted.
+        """
+        if session.closed:
+            return
+        self._push_configuration(session)
         session.expires_at = self._expiry()
         session.stopping = beat.stopping
         session.confirmed_version = beat.configuration_version
-        machine = self._ledger.machine
         outcomes = []
         for request_id in beat.watch:
             session.watched_ids.add(request_id)
-            record = machine.request_by_id.get(request_id)
+            record = self._ledger.machine.request_by_id.get(request_id)
             if record is not None and record.ended():
+                session.watched_ids.discard(request_id)
                 outcomes.append(outcome_of(record))
-        session.outbox.put_nowait(
-            LeaderBeat(beat.sequence, ENTRY_LEASE_S, outcomes=tuple(outcomes))
+        session.send(
+            LeaderBeat(
+                beat.sequence,
+                ENTRY_LEASE_S,
+                outcomes=tuple(outcomes),
+                assigned=assigned,
+            )
         )
-        if session.sent_version < machine.configuration.version:
-            self._push_configuration(session)
-        if beat.sequence == 1:
-            for request_id in list(self._request_ids_by_entry.get(beat.entry_id, ())):
-                self._push_request(machine.request_by_id[request_id])
 
-    def close(self, session: EntrySession) -> None:
-        """Forget a session whose stream ended; its lease still runs."""
+    def is_live(self, entry_id: str) -> bool:
+        """Return whether an entry has a session that has not lapsed."""
+        session = self.session_by_entry.get(entry_id)
+        return session is not None and session.expires_at >= self._ledger.clock()
+
+    def accepts_work(self, entry_id: str) -> bool:
+        """Return whether an entry is live and not shutting down."""
+        return self.is_live(entry_id) and not self.session_by_entry[entry_id].stopping
 
-    def pick_entry(self) -> str | None:
-        """Return the live entry with the fewest attempts."""
-        best = None
-        best_count = 0
-        for entry_id, session in self._session_by_entry.items():
-            if session.stopping or session.expires_at < time.monotonic():
+    def drop_lapsed(self) -> None:
+        """Forget the sessions whose lease has run out on any clock."""
+        now = self._ledger.clock()
+        for entry_id, session in list(self.session_by_entry.items()):
+            if session.expires_at >= now:
                 continue
-            count = len(self._request_ids_by_entry.get(entry_id, ()))
-            if best is None or count < best_count:
-                best = entry_id
-                best_count = count
-        return best
+            session.closed = True
+            del self.session_by_entry[entry_id]
+            self._logger.warning("session lapsed", entry=entry_id)
+
+    def settled(self) -> bool:
+        """Return whether all leases of an earlier leader have run out."""
+        return self._ledger.clock() >= self._led_since + ENTRY_LEASE_S * CLOCK_MARGIN
 
     # Configuration in force.
 
     def in_force(self, version: int) -> bool:
-        """Return whether every entry has ``version`` or no lease."""
-        settled = self._led_since + ENTRY_LEASE_S * CLOCK_MARGIN
-        if time.monotonic() < settled:
+        """Return whether every entry has ``version`` or holds no lease."""
+        if not self.settled():
             return False
-        for session in self._session_by_entry.values():
+        self.drop_lapsed()
+        for session in self.session_by_entry.values():
             if session.confirmed_version < version:
                 return False
-        return self._ledger.leading
+        return self._ledger.leads()
 
     async def wait_in_force(self, version: int, wait_s: float) -> bool:
         """Wait until ``version`` is in force; return whether it is."""
-        deadline = time.monotonic() + wait_s
+        deadline = self._ledger.clock() + wait_s
         while not self.in_force(version):
-            if time.monotonic() >= deadline:
+            if self._ledger.clock() >= deadline:
                 return False
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(IN_FORCE_CHECK_S)
         return True
 
-    # Expiry.
-
-    async def run(self) -> None:
-        """Move attempts away from entries whose session has lapsed."""
-        while True:
-            await asyncio.sleep(EXPIRY_CHECK_S)
-            if self._ledger.leading:
-                await self._expire()
-
-    async def _expire(self) -> None:
-        now = time.monotonic()
-        for entry_id, session in list(self._session_by_entry.items()):
-            if session.expires_at < now:
-                del self._session_by_entry[entry_id]
-                self._logger.warning("session lapsed", entry=entry_id)
-        if now < self._led_since + ENTRY_LEASE_S * CLOCK_MARGIN:
-            return
-        for entry_id in list(self._request_ids_by_entry):
-            if entry_id in self._session_by_entry:
-                continue
-            for request_id in list(self._request_ids_by_entry[entry_id]):
-                await self._reassign(request_id)
-
-    async def _reassign(self, request_id: str) -> None:
-        record = self._ledger.machine.request_by_id.get(request_id)
-        attempt = record.live_attempt() if record is not None else None
-        entry_id = self.pick_entry()
-        if attempt is None or entry_id is None:
-            return
-        try:
-            await self._ledger.commit(
-                AssignDispatch(request_id, attempt.number, entry_id)
-            )
-        except PersimmonyardError as error:
-            self._logger.warning("reassignment failed", error=str(error))
+    def state(self) -> dict[str, dict[str, object]]:
+        """Return the sessions for the state dump."""
+        now = self._ledger.clock()
+        sessions: dict[str, dict[str, object]] = {}
+        for entry_id, session in self.session_by_entry.items():
+            sessions[entry_id] = {
+                "zone": session.zone,
+                "lease_left_s": round(session.expires_at - now, 2),
+                "confirmed_version": session.confirmed_version,
+                "sent_version": session.sent_version,
+                "stopping": session.stopping,
+                "outbox": session.outbox.qsize(),
+                "watched": len(session.watched_ids),
+            }
+        return sessions
 
     # Helpers.
 
     def _expiry(self) -> float:
-        return time.monotonic() + ENTRY_LEASE_S * CLOCK_MARGIN
+        return self._ledger.clock() + ENTRY_LEASE_S * CLOCK_MARGIN
 
-    def _index(self, record: RequestRecord) -> None:
-        attempt = record.live_attempt()
-        entry_id = attempt.entry_id if attempt is not None else None
-        known = self._entry_by_request_id.get(record.request_id)
-        if known == entry_id:
+    def _push_configuration(self, session: EntrySession) -> None:
+        version = self._ledger.machine.configuration.version
+        if session.sent_version >= version:
             return
-        if known is not None:
-            del self._entry_by_request_id[record.request_id]
-            self._request_ids_by_entry[known].discard(record.request_id)
-            if not self._request_ids_by_entry[known]:
-                del self._request_ids_by_entry[known]
-        if entry_id is not None:
-            self._entry_by_request_id[record.request_id] = entry_id
-            ids = self._request_ids_by_entry.setdefault(entry_id, set())
-            ids.add(record.request_id)
+        changes = self._changes_after(session.sent_version)
+        full = changes is None
+        if changes is None:
+            changes = self._ledger.machine.configuration.as_changes()
+        update = ConfigurationUpdate(
+            version=version,
+            changes=tuple(changes),
+            full=full,
+            base_version=session.sent_version,
+        )
+        session.sent_version = version
+        session.push(update)
 
-    def _push_configuration(self, session: EntrySession) -> None:
+    def _changes_after(self, version: int) -> list[ConfigurationChange] | None:
+        """Return the changes since ``version``, or ``None`` if forgotten."""
         machine = self._ledger.machine
-        version = machine.configuration.version
-        changes: list = []
-        full = False
-        for number in range(session.sent_version + 1, version + 1):
+        changes: list[ConfigurationChange] = []
+        for number in range(version + 1, machine.configuration.version + 1):
             known = machine.recent_changes.get(number)
             if known is None:
-                full = True
-                break
+                return None
             changes.extend(known)
-        if full:
-            changes = machine.configuration.as_changes()
-        session.sent_version = version
-        session.push(ConfigurationUpdate(version, tuple(changes), full))
-
-    def _push_request(self, record: RequestRecord) -> None:
-        if record.ended():
-            self._push_outcome(record)
-        attempt = record.live_attempt()
-        if attempt is None:
-            return
-        session = self._session_by_entry.get(attempt.entry_id)
-        if session is None:
-            return
-        sent = session.sent_fence_by_id.get(record.request_id)
-        current = (attempt.fence, attempt.state.value)
-        if sent == current:
-            return
-        taken_over = sent is None or sent[0] != attempt.fence
-        session.sent_fence_by_id[record.request_id] = current
-        if attempt.state == AttemptState.STARTED and not taken_over:
-            return
-        order = order_for(self._ledger.machine, record, attempt, taken_over)
-        session.push(orders=(order,))
-
-    def _push_outcome(self, record: RequestRecord) -> None:
-        for session in self._session_by_entry.values():
-            session.sent_fence_by_id.pop(record.request_id, None)
-            if record.request_id not in session.watched_ids:
-                continue
-            session.watched_ids.discard(record.request_id)
-            session.push(outcomes=(outcome_of(record),))
+        return changes
--- a/packages/state/src/persimmonyard/state/machine.py
+++ b/packages/state/src/persimmonyard/state/machine.py
@@ -115,6 +115,11 @@
         """Return the requests with a live attempt on an upstream."""
         return self._request_ids_by_upstream.get(upstream_id, set())
 
+    def known_result(self, identity: str) -> CommandResult | None:
+        """Return the result of a command that was already executed."""
+        known = self._contents.result_by_identity.get(identity)
+        return None if known is None else known[1]
+
     def drain_changes(self) -> list[Change]:
         """Return the changes since the last call, in order."""
         changes = self._changes
--- a/packages/wire/src/persimmonyard/wire/session.py
+++ b/packages/wire/src/persimmonyard/wire/session.py
@@ -48,11 +48,15 @@
 
 @dataclass(frozen=True)
 class ConfigurationUpdate:
-    """Changes that lead to ``version``; ``full`` replaces everything."""
+    """Changes that lead from ``base_version`` to ``version``.
+
+    ``full`` replaces everything, whatever the entry had before.
+    """
 
     version: int
     changes: tuple[ConfigurationChange, ...]
     full: bool = False
+    base_version: int = 0
 
 
 class DispatchAction(StrEnum):
@@ -122,7 +126,8 @@
 class LeaderBeat:
     """The leader's reply to the beat ``sequence``, or a push if it is 0.
 
-    ``lease_s`` counts from the entry's own send time of that beat.
+    ``lease_s`` counts from the entry's own send time of that beat, and
+    ``assigned`` is the number of live attempts that the entry dispatches.
     """
 
     sequence: int
@@ -130,6 +135,7 @@
     update: ConfigurationUpdate | None = None
     orders: tuple[DispatchOrder, ...] = ()
     outcomes: tuple[Outcome, ...] = ()
+    assigned: int = 0
 
 
 @dataclass(frozen=True)
