Test guarantee changes and reads of the control service

Cause: the lock around guarantee changes and the lease check had no test. Change: four tests with a fake scheduler.

--- a/test/daemon/fakes.py
+++ b/test/daemon/fakes.py
@@ -1,5 +1,7 @@
 """Fakes at the interfaces of the daemon."""
 
+import asyncio
+
 from persimmonyard.daemon.control.ledger import Ledger
 from persimmonyard.model import (
     ClassSpec,
@@ -36,6 +38,8 @@
 
     async def propose(self, entry):
         self.proposals += 1
+        # A real commit takes time, in which other proposals may arrive.
+        await asyncio.sleep(0)
         return self.ledger.apply(self.proposals, entry)
 
 
--- /dev/null
+++ b/test/daemon/test_service.py
@@ -0,0 +1,98 @@
+"""Tests of persimmonyard.daemon.control.service."""
+
+import asyncio
+import unittest
+
+from persimmonyard.daemon.control.service import ControlService
+from persimmonyard.model import (
+    ClientAccountSpec,
+    ConfigurationChange,
+    ResultCode,
+    Shape,
+)
+from persimmonyard.scheduler import GuaranteeProblem
+from persimmonyard.state.commands import ApplyConfiguration, command_registry
+from persimmonyard.wire.generated import control_pb2
+from test.daemon.fakes import FakeControl
+
+
+class FakeScheduling:
+    """A scheduler that has room for a number of guarantees."""
+
+    def __init__(self, room):
+        self.room = room
+        self.scheduler = self
+
+    def check_guarantees(self, accounts):
+        count = sum(len(account.guarantee) for account in accounts)
+        if count <= self.room:
+            return []
+        return [GuaranteeProblem("clinic", 0, "does not fit")]
+
+
+class FakeUpstreams:
+    """Liveness that ignores heartbeats."""
+
+    def heard(self, heartbeats):
+        pass
+
+
+class ControlServiceTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.control = FakeControl()
+        self.control.set_up()
+        self.control.lead()
+        self.scheduling = FakeScheduling(room=1)
+        self.service = ControlService(
+            self.control.ledger, None, None, self.scheduling, FakeUpstreams()
+        )
+
+    async def execute(self, command, identity):
+        """Execute one command as an entry does."""
+        one = control_pb2.IdentifiedCommand(
+            identity=identity, command=command_registry.encode(command)
+        )
+        reply = await self.service.Execute(
+            control_pb2.ExecuteRequest(commands=[one]), None
+        )
+        if reply.code:
+            return reply
+        return command_registry.decode(reply.results[0])
+
+    def guarantee(self, account):
+        """Return a command that gives an account one guaranteed shape."""
+        spec = ClientAccountSpec(account, guarantee=(Shape(),))
+        return ApplyConfiguration((ConfigurationChange(client_account=spec),))
+
+    async def test_guarantee_that_does_not_fit_is_refused(self):
+        """A promise that cannot be kept must not be accepted."""
+        await self.execute(self.guarantee("a"), "1")
+        result = await self.execute(self.guarantee("b"), "2")
+        self.assertEqual(result.code, ResultCode.GUARANTEE_DOES_NOT_FIT)
+
+    async def test_racing_guarantees_are_checked_one_after_the_other(self):
+        """Two guarantees that fit only one by one must not both pass."""
+        results = await asyncio.gather(
+            self.execute(self.guarantee("a"), "1"),
+            self.execute(self.guarantee("b"), "2"),
+        )
+        self.assertEqual(
+            sorted(result.code for result in results),
+            [0, ResultCode.GUARANTEE_DOES_NOT_FIT],
+        )
+
+    async def test_resent_guarantee_gets_its_first_result(self):
+        """Capacity lost since must not turn an accepted change into a refusal."""
+        first = await self.execute(self.guarantee("a"), "1")
+        self.scheduling.room = 0
+        second = await self.execute(self.guarantee("a"), "1")
+        self.assertEqual(first, second)
+
+    async def test_replica_without_the_quorum_lease_executes_nothing(self):
+        """An isolated leader must not accept commands or answer reads."""
+        self.control.replica.leads = False
+        reply = await self.execute(self.guarantee("a"), "1")
+        self.assertEqual(reply.code, ResultCode.NOT_LEADER)
+        query = control_pb2.QueryRequest(kind="configuration")
+        reply = await self.service.Query(query, None)
+        self.assertEqual(reply.code, ResultCode.NOT_LEADER)
