--- a/test/daemon/test_service.py
+++ b/test/daemon/test_service.py
@@ -82,7 +82,7 @@
         )
 
     async def test_resent_guarantee_gets_its_first_result(self):
-        """Capacity lost since must not turn an accepted change into a refusal."""
+        """Capacity lost since must not turn acceptance into refusal."""
         first = await self.execute(self.guarantee("a"), "1")
         self.scheduling.room = 0
         second = await self.execute(self.guarantee("a"), "1")
