Replace the single-node log by a replicated log

Until now Replica kept one log on one disk, so the loss of a control instance lost the state. FileDisk stores frames with checksums, Replica is the asyncio host, and GrpcTransport keeps one stream for each pair of replicas. `persimmonyardd init` sets up the folder of a new group's member.

--- a/packages/daemon/src/persimmonyard/daemon/control/ledger.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/ledger.py
@@ -36,14 +36,19 @@
         self.machine = StateMachine()
         self.controllers: list[Controller] = []
         self.replica: Replica | None = None
-        self.leading = False
+        self._led = False
         self._logger = get_logger("ledger")
 
+    @property
+    def leading(self) -> bool:
+        """Whether controllers run and the quorum lease is valid right now."""
+        return self._led and self.replica is not None and self.replica.is_leader()
+
     def apply(self, index: int, entry: bytes) -> Any:
         """Apply a committed entry."""
         result = self.machine.apply(index, entry)
         changes = self.machine.drain_changes()
-        if self.leading and changes:
+        if self._led and changes:
             for controller in self.controllers:
                 controller.changed(changes)
         return result
@@ -60,9 +65,9 @@
         """Start or stop the controllers when leadership has changed."""
         assert self.replica is not None
         leads = self.replica.is_leader()
-        if leads == self.leading:
+        if leads == self._led:
             return
-        self.leading = leads
+        self._led = leads
         self._logger.info("leadership changed", leading=leads)
         for controller in self.controllers:
             if leads:
--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -1,6 +1,7 @@
 """One control process: replica, controllers, gRPC service, HTTP port."""
 
 import asyncio
+import random
 from pathlib import Path
 from typing import Any
 
@@ -11,12 +12,19 @@
 from persimmonyard.daemon.control.scheduling import SchedulingController
 from persimmonyard.daemon.control.service import ControlService
 from persimmonyard.daemon.control.sessions import SessionController
+from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.control.upstreams import UpstreamController
 from persimmonyard.daemon.control.views import status
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.settings import Settings
-from persimmonyard.replication import Replica
+from persimmonyard.replication import (
+    LOG_DAMAGED,
+    CoreConfig,
+    FileDisk,
+    LogDamagedError,
+    Replica,
+)
 from persimmonyard.wire.generated import control_pb2_grpc
 
 __all__ = ["ControlProcess"]
@@ -39,21 +47,33 @@
             self._scheduling,
             self._upstreams,
         ]
+        self._http: HttpServer | None = None
         self._tasks: list[asyncio.Task] = []
+        # Set to a result code if the process cannot go on.
+        self.failure: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
     async def start(self) -> None:
         """Start the replica, the services and the controllers."""
         settings = self._settings
-        folder = Path(settings.control.data_folder)
-        replica = Replica(settings.process.name, folder, self._ledger)
-        self._ledger.replica = replica
-        await replica.start()
-        self._server = grpc.aio.server()
+        name = settings.process.name
+        self._transport = GrpcTransport(name, settings.control.replicas)
+        self._replica = self._build_replica()
+        self._ledger.replica = self._replica
+        self._server = grpc.aio.server(options=MESSAGE_OPTIONS)
         service = ControlService(
             self._ledger, self._sessions, self._scheduling, self._upstreams
         )
         control_pb2_grpc.add_ControlServicer_to_server(service, self._server)
+        control_pb2_grpc.add_ReplicationServicer_to_server(
+            self._transport, self._server
+        )
         port = self._server.add_insecure_port(settings.control.address)
+        try:
+            await self._replica.start()
+        except LogDamagedError as error:
+            self._logger.error("the data folder is damaged", error=str(error))
+            self._fail(LOG_DAMAGED)
+            return
         await self._server.start()
         self._http = HttpServer(
             self._build_app(),
@@ -71,14 +91,30 @@
             self._tasks.append(asyncio.create_task(run()))
         self._logger.info("listening", grpc_port=port, http_port=self._http.port)
 
+    def _build_replica(self) -> Replica:
+        settings = self._settings
+        config = CoreConfig(
+            replica_id=settings.process.name,
+            incarnation="",
+            peers=tuple(settings.control.replicas),
+            seed=random.getrandbits(32),
+        )
+        disk = FileDisk(Path(settings.control.data_folder))
+        return Replica(config, disk, self._transport, self._ledger, self._fail)
+
+    def _fail(self, code: int) -> None:
+        if not self.failure.done():
+            self._logger.error("replica stopped", code=code)
+            self.failure.set_result(code)
+
     async def stop(self) -> None:
-        """Stop the controllers, the services and the replica."""
+        """Hand leadership over, then stop the services and the replica."""
+        await self._replica.stop()
         for task in self._tasks:
             task.cancel()
         await self._server.stop(1.0)
-        await self._http.stop()
-        assert self._ledger.replica is not None
-        await self._ledger.replica.stop()
+        if self._http is not None:
+            await self._http.stop()
 
     async def _watch_leadership(self) -> None:
         while True:
@@ -93,6 +129,7 @@
             return {
                 "process": self._settings.process.name,
                 "leading": ledger.leading,
+                "replica": self._replica.status()._asdict(),
                 "state": status(ledger.machine),
             }
 
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/transport.py
@@ -0,0 +1,186 @@
+"""Messages between replicas over one gRPC stream for each pair."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import grpc
+import msgspec
+
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.replication import Message, decode_batch, encode_batch
+from persimmonyard.wire.generated import control_pb2, control_pb2_grpc
+
+__all__ = ["MESSAGE_OPTIONS", "GrpcTransport"]
+
+MAX_QUEUED = 4_096
+MAX_BATCH = 64
+RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
+
+# One entry holds at most the answers of a gang: 256 of 65,536 bytes.
+MAX_MESSAGE_BYTES = 32 << 20
+MESSAGE_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+]
+_CHANNEL_OPTIONS = [
+    *MESSAGE_OPTIONS,
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 1_000),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    # A connection to a replica that went away without a word ends after this.
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    # Without it, a channel to the same address would share a dead connection.
+    ("grpc.use_local_subchannel_pool", 1),
+]
+_NAME_KEY = "replica"
+
+
+class _Link:
+    """The queue to one replica, valid while a stream is open."""
+
+    def __init__(self) -> None:
+        self._queue: deque[Message] = deque()
+        self._wake = asyncio.Event()
+
+    def put(self, message: Message) -> None:
+        """Queue a message; the replication core repeats what is dropped."""
+        if len(self._queue) < MAX_QUEUED:
+            self._queue.append(message)
+            self._wake.set()
+
+    async def next_envelope(self) -> Any:
+        """Return the queued messages as one envelope."""
+        await self._wake.wait()
+        batch: list[Message] = []
+        while self._queue and len(batch) < MAX_BATCH:
+            batch.append(self._queue.popleft())
+        if not self._queue:
+            self._wake.clear()
+        return control_pb2.Envelope(body=encode_batch(batch))
+
+
+class GrpcTransport(control_pb2_grpc.ReplicationServicer):
+    """Exchange messages with the other replicas.
+
+    Of each pair, the replica with the lower name opens the stream.
+    """
+
+    def __init__(self, replica_id: str, address_by_name: dict[str, str]):
+        self._replica_id = replica_id
+        self._settings_address_by_name = dict(address_by_name)
+        self._address_by_name = dict(address_by_name)
+        self._link_by_name: dict[str, _Link] = {}
+        self._opener_by_name: dict[str, asyncio.Task] = {}
+        self._receive: Callable[[str, Message], None] | None = None
+        self._logger = get_logger("transport")
+
+    # The interface that the replica uses.
+
+    async def start(self, receive: Callable[[str, Message], None]) -> None:
+        """Start to open streams and to deliver messages."""
+        self._receive = receive
+        self._open_missing()
+
+    async def stop(self) -> None:
+        """Close all streams."""
+        self._receive = None
+        for task in self._opener_by_name.values():
+            task.cancel()
+        await asyncio.gather(*self._opener_by_name.values(), return_exceptions=True)
+
+    def send(self, to: str, message: Message) -> None:
+        """Queue a message, or drop it if there is no stream."""
+        link = self._link_by_name.get(to)
+        if link is not None:
+            link.put(message)
+
+    def set_addresses(self, address_by_name: dict[str, str]) -> None:
+        """Take the members' addresses; those of the settings come first."""
+        self._address_by_name = address_by_name | self._settings_address_by_name
+        if self._receive is not None:
+            self._open_missing()
+
+    # Streams that this replica opens.
+
+    def _open_missing(self) -> None:
+        for name in self._address_by_name:
+            if name > self._replica_id and name not in self._opener_by_name:
+                task = asyncio.create_task(self._keep_open(name))
+                self._opener_by_name[name] = task
+
+    async def _keep_open(self, name: str) -> None:
+        delay = RETRY_DELAY_S
+        while True:
+            address = self._address_by_name[name]
+            try:
+                async with grpc.aio.insecure_channel(
+                    address, options=_CHANNEL_OPTIONS
+                ) as channel:
+                    if await self._open(name, channel):
+                        delay = RETRY_DELAY_S
+            except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
+                self._logger.info("stream ended", peer=name, error=str(error)[:200])
+            await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+            delay = min(MAX_RETRY_DELAY_S, delay * 2)
+
+    async def _open(self, name: str, channel: grpc.aio.Channel) -> bool:
+        """Serve a stream until it ends; return whether it was accepted."""
+        metadata = ((_NAME_KEY, self._replica_id),)
+        call = control_pb2_grpc.ReplicationStub(channel).Exchange(metadata=metadata)
+        await call.initial_metadata()
+        link = self._attach(name)
+        writer = asyncio.create_task(self._write(link, call.write))
+        try:
+            while True:
+                envelope = await call.read()
+                if envelope is grpc.aio.EOF:
+                    return True
+                self._deliver(name, envelope)
+        finally:
+            writer.cancel()
+            call.cancel()
+            self._detach(name, link)
+
+    async def _write(self, link: _Link, write: Callable[[Any], Any]) -> None:
+        while True:
+            await write(await link.next_envelope())
+
+    # Streams that others open.
+
+    async def Exchange(  # noqa: N802
+        self, request_iterator: AsyncIterator[Any], context: Any
+    ) -> None:
+        """Serve the stream of a replica with a lower name."""
+        name = dict(context.invocation_metadata()).get(_NAME_KEY, "")
+        if not name or self._receive is None:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "not a replica")
+        await context.send_initial_metadata(())
+        link = self._attach(name)
+        writer = asyncio.create_task(self._write(link, context.write))
+        try:
+            async for envelope in request_iterator:
+                self._deliver(name, envelope)
+        finally:
+            writer.cancel()
+            self._detach(name, link)
+
+    # Both.
+
+    def _attach(self, name: str) -> _Link:
+        link = _Link()
+        self._link_by_name[name] = link
+        return link
+
+    def _detach(self, name: str, link: _Link) -> None:
+        if self._link_by_name.get(name) is link:
+            del self._link_by_name[name]
+
+    def _deliver(self, name: str, envelope: Any) -> None:
+        for message in decode_batch(envelope.body):
+            if self._receive is not None:
+                self._receive(name, message)
--- a/packages/daemon/src/persimmonyard/daemon/main.py
+++ b/packages/daemon/src/persimmonyard/daemon/main.py
@@ -10,15 +10,22 @@
 
 from persimmonyard.daemon.logs import get_logger, set_up_logs
 from persimmonyard.daemon.settings import Settings, load_settings
-from persimmonyard.model import UserError
+from persimmonyard.model import ResultCode, UserError
+from persimmonyard.replication import initialize
 
 __all__ = ["run"]
 
+EXIT_FAILED = 3
+
 app = typer.Typer(add_completion=False, help="Run one persimmonyard process.")
 
 
 class Role(Protocol):
-    """What the daemon runs."""
+    """What the daemon runs.
+
+    A role may have an attribute ``failure``, a future that gets a result
+    code if the process cannot go on.
+    """
 
     async def start(self) -> None:
         """Start serving."""
@@ -37,29 +44,66 @@
     return ControlProcess(settings)
 
 
-async def _serve(settings: Settings) -> None:
+async def _serve(settings: Settings) -> int:
+    """Serve until a signal or a failure; return the exit status."""
     logger = get_logger("daemon")
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     role = _build(settings)
+    failure: asyncio.Future[int] | None = getattr(role, "failure", None)
+    if failure is not None:
+        failure.add_done_callback(lambda _: stop.set())
     await role.start()
     logger.info("started", role=settings.process.role)
     await stop.wait()
     logger.info("stopping")
     await role.stop()
     logger.info("stopped")
+    return EXIT_FAILED if failure is not None and failure.done() else 0
 
 
-@app.command()
+SettingsFile = Annotated[Path, typer.Option(help="The TOML settings file.")]
+
+
+@app.callback(invoke_without_command=True)
 def serve(
-    settings: Annotated[Path, typer.Option(help="The TOML settings file.")],
+    context: typer.Context,
+    settings: Annotated[
+        Path | None, typer.Option(help="The TOML settings file.")
+    ] = None,
 ) -> None:
     """Run the process that the settings file describes."""
+    if context.invoked_subcommand is not None:
+        return
+    if settings is None:
+        raise UserError(ResultCode.BAD_SETTING, "give the file with --settings FILE")
     loaded = load_settings(settings)
     set_up_logs(loaded.log.level, loaded.process.name, loaded.process.zone)
-    asyncio.run(_serve(loaded))
+    sys.exit(asyncio.run(_serve(loaded)))
+
+
+@app.command()
+def init(settings: SettingsFile) -> None:
+    """Set up the data folder of a fresh member of a new group.
+
+    Run it once for each control process of a new deployment.  A replica that
+    lost its disk must not be set up again: it recovers by itself.
+    """
+    loaded = load_settings(settings)
+    if loaded.process.role != "control":
+        raise UserError(ResultCode.BAD_SETTING, "only control processes keep data")
+    if loaded.process.name not in loaded.control.replicas:
+        raise UserError(
+            ResultCode.BAD_SETTING,
+            f"control.replicas does not name {loaded.process.name!r}",
+        )
+    folder = Path(loaded.control.data_folder)
+    try:
+        initialize(folder, loaded.process.name, loaded.control.replicas)
+    except OSError as error:
+        raise UserError(ResultCode.BAD_SETTING, f"cannot set up: {error}") from error
 
 
 def run() -> None:
--- a/packages/replication/src/persimmonyard/replication/errors.py
+++ b/packages/replication/src/persimmonyard/replication/errors.py
@@ -1,6 +1,17 @@
 """Errors of the replicated log."""
 
-__all__ = ["LogDamagedError", "NotLeaderError", "OutcomeUnknownError"]
+__all__ = [
+    "LOG_DAMAGED",
+    "SYNC_FAILED",
+    "LogDamagedError",
+    "MemberChangeError",
+    "NotLeaderError",
+    "OutcomeUnknownError",
+]
+
+# The numbers are those of the result codes in the project's reference.
+LOG_DAMAGED = 800
+SYNC_FAILED = 801
 
 
 class NotLeaderError(Exception):
@@ -15,5 +26,11 @@
     """The entry may or may not be committed later."""
 
 
+class MemberChangeError(Exception):
+    """A membership change is not possible at the moment."""
+
+
 class LogDamagedError(Exception):
-    """The log holds damage that is not a torn tail."""
+    """A file holds damage that is not a torn tail."""
+
+    code = LOG_DAMAGED
--- /dev/null
+++ b/packages/replication/src/persimmonyard/replication/folder.py
@@ -0,0 +1,102 @@
+"""Durable replacement of files, and the identity in a data folder."""
+
+import os
+import secrets
+import zlib
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from persimmonyard.replication.errors import LogDamagedError
+from persimmonyard.replication.messages import Members
+
+__all__ = [
+    "FIRST_INCARNATION",
+    "Identity",
+    "initialize",
+    "load_identity",
+    "replace_file",
+    "sync_folder",
+]
+
+# All members of a new group know each other by this incarnation, because each
+# is set up on its own instance before any of them runs.
+FIRST_INCARNATION = "0"
+
+_IDENTITY = "identity"
+_LOG = "log"
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Who owns the folder, and the members that a new group starts with."""
+
+    replica_id: str
+    incarnation: str
+    members: Members = Members()
+
+
+def sync_folder(folder: Path) -> None:
+    """Make created, renamed and removed names durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: Path, parts: Iterable[bytes]) -> None:
+    """Replace the file at ``path`` durably, or leave the old one."""
+    temporary = path.with_name(path.name + ".new")
+    with open(temporary, "wb") as file:
+        for part in parts:
+            file.write(part)
+        file.flush()
+        os.fsync(file.fileno())
+    os.rename(temporary, path)
+    sync_folder(path.parent)
+
+
+def initialize(folder: Path, replica_id: str, address_by_name: dict[str, str]) -> None:
+    """Set up the folder of a fresh member of a new group.
+
+    Raises ``FileExistsError`` if the folder has been used.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    if (folder / _IDENTITY).exists() or (folder / _LOG).exists():
+        raise FileExistsError(f"{folder.name} holds a replica already")
+    voters = dict.fromkeys(sorted(address_by_name), FIRST_INCARNATION)
+    members = Members(voters, {}, address_by_name)
+    _write_identity(folder, Identity(replica_id, FIRST_INCARNATION, members))
+
+
+def load_identity(folder: Path, replica_id: str) -> Identity:
+    """Return the identity of the folder; an empty one gets a new nonce.
+
+    Raises ``LogDamagedError`` if the folder is incomplete or is another
+    replica's.
+    """
+    path = folder / _IDENTITY
+    if not path.exists():
+        folder.mkdir(parents=True, exist_ok=True)
+        for name in (_LOG, "snapshot"):
+            if (folder / name).exists() and (folder / name).stat().st_size:
+                raise LogDamagedError(f"{name} exists without an identity")
+        _write_identity(folder, Identity(replica_id, secrets.token_hex(8)))
+    data = path.read_bytes()
+    if len(data) < 4 or zlib.crc32(data[4:]) != int.from_bytes(data[:4], "little"):
+        raise LogDamagedError("identity: bad checksum")
+    identity = msgspec.json.decode(data[4:], type=Identity)
+    if identity.replica_id != replica_id:
+        raise LogDamagedError(f"the folder belongs to {identity.replica_id!r}")
+    if not (folder / _LOG).exists():
+        raise LogDamagedError("log: the file is missing")
+    return identity
+
+
+def _write_identity(folder: Path, identity: Identity) -> None:
+    """Create an empty log, then the identity that declares it valid."""
+    replace_file(folder / _LOG, [])
+    body = msgspec.json.encode(identity)
+    checksum = zlib.crc32(body).to_bytes(4, "little")
+    replace_file(folder / _IDENTITY, [checksum, body])
--- a/packages/standin/src/persimmonyard/standin/deployment.py
+++ b/packages/standin/src/persimmonyard/standin/deployment.py
@@ -51,6 +51,8 @@
         for name in [*control_names, *entry_names]:
             self.http_port_by_name[name] = free_port()
             self._write_settings(name)
+            if name in control_names:
+                self._initialize(name)
             self.start_process(name)
         for name in entry_names:
             self.wait_ready(name)
@@ -74,6 +76,12 @@
         ]
         self._spawn(name, command)
 
+    def _initialize(self, name: str) -> None:
+        command = [sys.executable, "-m", "persimmonyard.daemon.main", "init"]
+        command += ["--settings", str(self.folder / f"{name}.toml")]
+        if not (self.folder / name).exists():
+            subprocess.run(command, check=True)
+
     def start_upstream(self, name: str, zone: str, rack: str, *options: str) -> None:
         """Start one stand-in upstream."""
         command = [sys.executable, "-m", "persimmonyard.standin.upstream"]
