Split the state machine by concern and close holes in its transitions

Cause: a review of the life cycle found that a lost attempt without a committed start made the outcome unknown, that a resent report of an end got an error, that members which were not ready caused a busy loop, that a late registration of an earlier start ended the work of the newer one, that a leaving or quarantined upstream came back as up after a loss, that a quarantine revived a lost upstream, that non-idempotent work could be preempted, that a partial gang could be placed, that a refusal after a run kept a not-run code, that histories grew without bound, that a reused command identity reported the result of another command, and that expiry scanned all requests.

Change: commands about requests, attempts and upstreams are modules of their own over one Store with the contents and indexes. Ended requests and lost upstreams are listed in the order of their end, so expiry costs what it removes. Placement accepts gaps in attempt numbers, because a scheduler whose placement was refused goes on with the next number. Records have slots and share strings, shapes and members.

--- /dev/null
+++ b/packages/state/src/persimmonyard/state/attempt_commands.py
@@ -0,0 +1,165 @@
+"""Commands about one attempt: placement, start, stop and end."""
+
+import dataclasses
+import sys
+
+from persimmonyard.model import ResultCode
+from persimmonyard.state.changes import ChangeKind
+from persimmonyard.state.commands import (
+    AssignDispatch,
+    CommandResult,
+    EndAttempt,
+    PlaceAttempt,
+    StartAttempt,
+    StopAttempt,
+)
+from persimmonyard.state.records import (
+    Attempt,
+    AttemptOutcome,
+    AttemptState,
+    RequestRecord,
+    RequestState,
+)
+from persimmonyard.state.requests import add_attempt, move
+from persimmonyard.state.store import Store
+
+__all__ = ["assign", "end", "place", "start", "stop"]
+
+
+def place(store: Store, command: PlaceAttempt) -> CommandResult:
+    """Reserve all members of the next attempt, or none."""
+    record = store.request(command.request_id)
+    if record is None or record.state != RequestState.ACCEPTED:
+        return CommandResult.failed(ResultCode.ALREADY_ENDED, "not waiting")
+    if record.attempts and command.number <= record.attempts[-1].number:
+        return CommandResult.failed(
+            ResultCode.VERSION_CONFLICT, "another attempt was placed"
+        )
+    if len(command.upstream_ids) != record.shape.gang:
+        return CommandResult.failed(
+            ResultCode.BAD_FIELD, f"the request has {record.shape.gang} members"
+        )
+    members = []
+    for upstream_id in command.upstream_ids:
+        if not store.may_start_on(upstream_id):
+            return CommandResult.failed(
+                ResultCode.IN_USE, f"upstream {upstream_id} takes no new work"
+            )
+        spec = store.contents.upstream_by_id[upstream_id].spec
+        members.append(store.member_on(spec.upstream_id, spec.incarnation))
+    attempt = Attempt(
+        number=command.number,
+        members=tuple(members),
+        entry_id=sys.intern(command.entry_id),
+        fence=store.next_fence(),
+        borrowed=command.borrowed,
+        placed_at=store.now,
+    )
+    add_attempt(record, attempt)
+    store.occupy(record, attempt)
+    move(record, RequestState.PLACED, store.now, command.reason)
+    store.note(ChangeKind.REQUEST, record.request_id)
+    return CommandResult(request_id=record.request_id, fence=attempt.fence)
+
+
+def assign(store: Store, command: AssignDispatch) -> CommandResult:
+    """Give a live attempt to another entry under a new fence."""
+    record, attempt = _live(store, command.request_id, command.number)
+    if record is None or attempt is None:
+        return CommandResult.failed(ResultCode.UNKNOWN_ATTEMPT, "not live")
+    attempt.entry_id = sys.intern(command.entry_id)
+    attempt.fence = store.next_fence()
+    store.note(ChangeKind.REQUEST, record.request_id)
+    return CommandResult(fence=attempt.fence)
+
+
+def start(store: Store, command: StartAttempt) -> CommandResult:
+    """Allow the holder of the current fence to send starts."""
+    record, attempt = _live(store, command.request_id, command.number)
+    if record is None or attempt is None:
+        return CommandResult.failed(ResultCode.UNKNOWN_ATTEMPT, "not live")
+    if attempt.fence != command.fence:
+        return CommandResult.failed(ResultCode.STALE_FENCE, "newer fence")
+    if attempt.state == AttemptState.STARTED:
+        return CommandResult(fence=attempt.fence)
+    if attempt.state != AttemptState.PLACED:
+        return CommandResult.failed(ResultCode.ALREADY_ENDED, "stopping")
+    for member in attempt.members:
+        if store.may_start_on(member.upstream_id, member.incarnation):
+            continue
+        reason = f"upstream {member.upstream_id} takes no new work"
+        store.end_unstarted(record, attempt, reason)
+        return CommandResult.failed(ResultCode.IN_USE, reason)
+    attempt.state = AttemptState.STARTED
+    attempt.started_at = store.now
+    record.unready = 0
+    move(record, RequestState.STARTED, store.now, "all members are ready")
+    store.note(ChangeKind.REQUEST, record.request_id)
+    return CommandResult(fence=attempt.fence)
+
+
+def stop(store: Store, command: StopAttempt) -> CommandResult:
+    """Stop an attempt whose work can run again."""
+    record, attempt = _live(store, command.request_id, command.number)
+    if record is None or attempt is None:
+        return CommandResult.failed(ResultCode.UNKNOWN_ATTEMPT, "not live")
+    if attempt.started_at is None:
+        store.end_unstarted(record, attempt, command.reason)
+        return CommandResult()
+    if attempt.state == AttemptState.STOPPING:
+        return CommandResult()
+    at_checkpoint = command.checkpoint and record.checkpointable
+    if not record.idempotent and not at_checkpoint:
+        return CommandResult.failed(
+            ResultCode.IN_USE, "the work cannot be stopped and run again"
+        )
+    attempt.state = AttemptState.STOPPING
+    attempt.checkpoint_wanted = at_checkpoint
+    attempt.stop_reason = sys.intern(command.reason)
+    store.note(ChangeKind.REQUEST, record.request_id)
+    return CommandResult()
+
+
+def end(store: Store, command: EndAttempt) -> CommandResult:
+    """Record how an attempt ended; a resent report gets code 0 again."""
+    record, attempt = _live(store, command.request_id, command.number)
+    if record is None or attempt is None:
+        if _is_resend(store.request(command.request_id), command):
+            return CommandResult(request_id=command.request_id)
+        return CommandResult.failed(ResultCode.UNKNOWN_ATTEMPT, "not live")
+    if attempt.fence != command.fence:
+        return CommandResult.failed(ResultCode.STALE_FENCE, "newer fence")
+    finished = command.outcome == AttemptOutcome.FINISHED
+    if finished and len(command.answers) != len(attempt.members):
+        return CommandResult.failed(
+            ResultCode.BAD_FIELD, f"{len(attempt.members)} answers are needed"
+        )
+    if attempt.started_at is None:
+        # Without a committed start no task began, whatever was reported.
+        command = dataclasses.replace(
+            command, outcome=AttemptOutcome.NEVER_BEGAN, answers=()
+        )
+    store.finish(record, attempt, command)
+    return CommandResult(request_id=record.request_id)
+
+
+def _live(
+    store: Store, request_id: str, number: int
+) -> tuple[RequestRecord | None, Attempt | None]:
+    record = store.request(request_id)
+    if record is None:
+        return None, None
+    attempt = record.live_attempt()
+    if attempt is None or attempt.number != number:
+        return None, None
+    return record, attempt
+
+
+def _is_resend(record: RequestRecord | None, command: EndAttempt) -> bool:
+    if record is None:
+        return False
+    for attempt in record.attempts:
+        if attempt.number != command.number:
+            continue
+        return attempt.fence == command.fence and attempt.outcome == command.outcome
+    return False
--- /dev/null
+++ b/packages/state/src/persimmonyard/state/changes.py
@@ -0,0 +1,21 @@
+"""Notes to the controllers about what the state machine changed."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["Change", "ChangeKind"]
+
+
+class ChangeKind(StrEnum):
+    """What kind of item a change concerns."""
+
+    REQUEST = "request"
+    UPSTREAM = "upstream"
+    CONFIGURATION = "configuration"
+
+
+class Change(NamedTuple):
+    """A note to the controllers that an item is different from before."""
+
+    kind: ChangeKind
+    item_id: str
--- a/packages/state/src/persimmonyard/state/commands.py
+++ b/packages/state/src/persimmonyard/state/commands.py
@@ -93,7 +93,11 @@
 
 @dataclass(frozen=True)
 class RefuseRequest:
-    """End a waiting request that no start was committed for."""
+    """End a waiting request.
+
+    If an earlier attempt may have begun, the code becomes FAILED, because
+    the refusal must not state that nothing ran.
+    """
 
     request_id: str
     code: int
@@ -102,7 +106,10 @@
 
 @dataclass(frozen=True)
 class PlaceAttempt:
-    """Reserve the members of the next attempt and name its dispatcher."""
+    """Reserve the members of the next attempt and name its dispatcher.
+
+    ``number`` must be greater than that of every earlier attempt.
+    """
 
     request_id: str
     number: int
@@ -132,7 +139,11 @@
 
 @dataclass(frozen=True)
 class StopAttempt:
-    """Stop an attempt so that its capacity can be used for other work."""
+    """Stop an attempt so that its capacity can be used for other work.
+
+    Refused for started work that could not run again: a non-idempotent
+    request stops only at a checkpoint.
+    """
 
     request_id: str
     number: int
@@ -146,6 +157,9 @@
 
     ``answers`` holds one answer for each member if it finished, and
     ``failed_members`` the indexes of the members at fault if it failed.
+    ``checkpoint`` is one reference for a single member and a JSON list of
+    references for a gang.  ``code`` is the final result code of a failure
+    that another attempt would repeat; it is 0 if a retry may help.
     """
 
     request_id: str
@@ -156,6 +170,7 @@
     failed_members: tuple[int, ...] = ()
     checkpoint: str = ""
     message: str = ""
+    code: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/state/src/persimmonyard/state/records.py
+++ b/packages/state/src/persimmonyard/state/records.py
@@ -77,7 +77,7 @@
     QUARANTINED = "quarantined"
 
 
-@dataclass
+@dataclass(frozen=True, slots=True)
 class Member:
     """One member of an attempt: the upstream start that it runs on."""
 
@@ -85,7 +85,7 @@
     incarnation: str
 
 
-@dataclass
+@dataclass(frozen=True, slots=True)
 class MemberAnswer:
     """The result of one member with the SHA-256 digest of its body."""
 
@@ -93,12 +93,12 @@
     digest: str
 
 
-@dataclass
+@dataclass(slots=True)
 class Attempt:
     """One try to run a request on a set of upstreams."""
 
     number: int
-    members: list[Member]
+    members: tuple[Member, ...]
     entry_id: str
     fence: int
     state: AttemptState = AttemptState.PLACED
@@ -106,14 +106,18 @@
     borrowed: bool = False
     checkpoint_wanted: bool = False
     stop_reason: str = ""
-    lost_members: list[int] = field(default_factory=list)
-    failed_members: list[int] = field(default_factory=list)
+    lost_members: tuple[int, ...] = ()
+    failed_members: tuple[int, ...] = ()
     placed_at: float = 0.0
     started_at: float | None = None
     ended_at: float | None = None
 
+    def ended(self) -> bool:
+        """Return whether the attempt occupies its members no longer."""
+        return self.state == AttemptState.ENDED
+
 
-@dataclass
+@dataclass(slots=True)
 class Transition:
     """One entry of a request's history, shown by ``explain``."""
 
@@ -122,9 +126,15 @@
     reason: str
 
 
-@dataclass
+@dataclass(slots=True)
 class RequestRecord:
-    """A request and everything that is decided about it."""
+    """A request and everything that is decided about it.
+
+    ``may_have_begun`` is set once an attempt ended that was started and that
+    is not known to have never begun.  ``failures`` counts the attempts that
+    failed or were lost, ``unready`` those since the last start that ended
+    because a member was not ready.
+    """
 
     request_id: str
     client_account: str
@@ -142,11 +152,14 @@
     message: str = ""
     cancel_requested: bool = False
     attempts: list[Attempt] = field(default_factory=list)
-    answers: list[MemberAnswer] = field(default_factory=list)
+    answers: tuple[MemberAnswer, ...] = ()
     checkpoint: str = ""
     not_before: float = 0.0
     ended_at: float | None = None
     history: list[Transition] = field(default_factory=list)
+    may_have_begun: bool = False
+    failures: int = 0
+    unready: int = 0
 
     def live_attempt(self) -> Attempt | None:
         """Return the attempt that has not ended, if there is one."""
@@ -159,11 +172,17 @@
         return self.state in ENDED_STATES
 
 
-@dataclass
+@dataclass(slots=True)
 class UpstreamRecord:
-    """An upstream as it announced itself, and its status."""
+    """An upstream as it announced itself, and its status.
+
+    ``before_loss`` is the status that a lost start gets back if it is heard
+    again.  ``past_incarnations`` are the starts that newer ones replaced.
+    """
 
     spec: UpstreamSpec
     status: UpstreamStatus = UpstreamStatus.UP
     reason: str = ""
     until: float | None = None
+    before_loss: UpstreamStatus | None = None
+    past_incarnations: tuple[str, ...] = ()
--- /dev/null
+++ b/test/state/test_attempt_commands.py
@@ -0,0 +1,154 @@
+"""Tests of persimmonyard.state.attempt_commands."""
+
+import unittest
+
+from persimmonyard.model import ResultCode
+from persimmonyard.state.commands import (
+    AssignDispatch,
+    EndAttempt,
+    PlaceAttempt,
+    RefuseRequest,
+    StopAttempt,
+)
+from persimmonyard.state.records import (
+    AttemptOutcome,
+    AttemptState,
+    MemberAnswer,
+    RequestState,
+)
+from persimmonyard.state.requests import MAX_HISTORY, MAX_KEPT_ATTEMPTS, ever_started
+from test.state.fixtures import MachineFixture
+
+ANSWER = (MemberAnswer(b"a", "d"),)
+
+
+class AttemptCommandTests(unittest.TestCase):
+    def setUp(self):
+        self.fixture = MachineFixture()
+
+    def test_unstarted_attempt_ends_as_never_begun(self):
+        """A loss before the start does not make the outcome unknown."""
+        record = self.fixture.submit()
+        attempt = self.fixture.place(record)
+        self.fixture.end(record, attempt, AttemptOutcome.LOST)
+        self.assertEqual(record.state, RequestState.ACCEPTED)
+        self.assertFalse(ever_started(record))
+
+    def test_unready_members_delay_the_next_attempt(self):
+        """A member that refuses each prepare does not cause a busy loop."""
+        record = self.fixture.submit()
+        delays = []
+        for _ in range(8):
+            attempt = self.fixture.place(record)
+            never = AttemptOutcome.NEVER_BEGAN
+            self.fixture.end(record, attempt, never, failed_members=(0,))
+            delays.append(round(record.not_before - self.fixture.time, 3))
+        self.assertEqual(delays, [0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 3.2, 3.2])
+
+    def test_resent_report_gets_the_same_result(self):
+        """A dispatcher whose report was applied learns that it was."""
+        record = self.fixture.submit()
+        attempt = self.fixture.start(record)
+        for _ in range(2):
+            result = self.fixture.end(
+                record, attempt, AttemptOutcome.FINISHED, answers=ANSWER
+            )
+            self.assertEqual(result.code, 0)
+        self.assertEqual(record.answers, ANSWER)
+
+    def test_report_under_an_older_fence_changes_nothing(self):
+        """A dispatcher that was replaced cannot end the attempt."""
+        record = self.fixture.submit()
+        attempt = self.fixture.start(record)
+        old = attempt.fence
+        self.fixture.run(AssignDispatch("r", 1, "e2"))
+        result = self.fixture.run(EndAttempt("r", 1, old, AttemptOutcome.LOST))
+        self.assertEqual(result.code, ResultCode.STALE_FENCE)
+        self.assertEqual(attempt.state, AttemptState.STARTED)
+
+    def test_incomplete_answers_are_refused(self):
+        """A gang does not finish with the answers of some members."""
+        record = self.fixture.submit(gang=2)
+        attempt = self.fixture.start(record, ("up-0", "up-1"))
+        result = self.fixture.end(
+            record, attempt, AttemptOutcome.FINISHED, answers=ANSWER
+        )
+        self.assertEqual(result.code, ResultCode.BAD_FIELD)
+        self.assertFalse(record.ended())
+
+    def test_partial_gang_is_not_placed(self):
+        """A gang gets all its members in one placement or none."""
+        self.fixture.submit(gang=2)
+        result = self.fixture.run(PlaceAttempt("r", 1, ("up-0",), "e"))
+        self.assertEqual(result.code, ResultCode.BAD_FIELD)
+
+    def test_placement_with_an_earlier_number_is_refused(self):
+        """A delayed placement does not repeat an attempt; gaps are allowed."""
+        record = self.fixture.submit()
+        self.fixture.run(PlaceAttempt("r", 3, ("up-0",), "e"))
+        attempt = record.attempts[-1]
+        self.fixture.end(record, attempt, AttemptOutcome.NEVER_BEGAN)
+        result = self.fixture.run(PlaceAttempt("r", 3, ("up-0",), "e"))
+        self.assertEqual(result.code, ResultCode.VERSION_CONFLICT)
+
+    def test_lost_attempts_spend_the_budget(self):
+        """An idempotent request gets 504 after five losses, with backoff."""
+        record = self.fixture.submit(idempotent=True)
+        delays = []
+        for _ in range(5):
+            attempt = self.fixture.start(record)
+            self.fixture.end(record, attempt, AttemptOutcome.LOST)
+            delays.append(round(record.not_before - self.fixture.time, 3))
+        self.assertEqual(record.code, ResultCode.FAILED_ON_MANY_UPSTREAMS)
+        self.assertEqual(delays[:4], [0.5, 1.0, 2.0, 4.0])
+
+    def test_final_failure_is_not_retried(self):
+        """An answer that is too large would be so on every upstream."""
+        record = self.fixture.submit(idempotent=True)
+        attempt = self.fixture.start(record)
+        code = int(ResultCode.ANSWER_TOO_LARGE)
+        self.fixture.end(record, attempt, AttemptOutcome.FAILED, code=code)
+        self.assertEqual(record.code, code)
+
+    def test_work_that_cannot_run_again_is_not_preempted(self):
+        """A stop of non-idempotent work would make its outcome unknown."""
+        record = self.fixture.submit()
+        attempt = self.fixture.start(record)
+        result = self.fixture.run(StopAttempt("r", 1, True))
+        self.assertEqual(result.code, ResultCode.IN_USE)
+        self.assertEqual(attempt.state, AttemptState.STARTED)
+
+    def test_loss_after_a_checkpoint_is_unknown(self):
+        """A checkpoint allows one more run, not a run after a loss."""
+        record = self.fixture.submit(checkpointable=True)
+        attempt = self.fixture.start(record)
+        self.fixture.run(StopAttempt("r", 1, True))
+        checkpointed = AttemptOutcome.CHECKPOINTED
+        self.fixture.end(record, attempt, checkpointed, checkpoint="c")
+        self.assertEqual(
+            (record.state, record.checkpoint), (RequestState.ACCEPTED, "c")
+        )
+        attempt = self.fixture.start(record)
+        self.fixture.end(record, attempt, AttemptOutcome.LOST)
+        self.assertEqual(record.code, ResultCode.OUTCOME_UNKNOWN)
+
+    def test_refusal_after_a_run_does_not_say_not_run(self):
+        """A request that ran once is not refused with a not-run code."""
+        record = self.fixture.submit(idempotent=True)
+        attempt = self.fixture.start(record)
+        self.fixture.end(record, attempt, AttemptOutcome.LOST)
+        self.fixture.run(RefuseRequest("r", int(ResultCode.NEVER_FITS), "x"))
+        self.assertEqual(record.code, ResultCode.FAILED)
+
+    def test_history_is_bounded(self):
+        """A request that is preempted for days does not fill the memory."""
+        record = self.fixture.submit(idempotent=True)
+        self.fixture.end(record, self.fixture.start(record), AttemptOutcome.LOST)
+        for _ in range(50):
+            attempt = self.fixture.start(record)
+            self.fixture.run(StopAttempt("r", attempt.number, False, "preempted"))
+            self.fixture.end(record, attempt, AttemptOutcome.STOPPED)
+        self.assertEqual(len(record.history), MAX_HISTORY)
+        self.assertEqual(len(record.attempts), MAX_KEPT_ATTEMPTS)
+        self.assertEqual(record.history[0].reason, "submitted")
+        self.assertEqual(record.attempts[0].outcome, AttemptOutcome.LOST)
--- /dev/null
+++ b/test/state/test_upstream_commands.py
@@ -0,0 +1,90 @@
+"""Tests of persimmonyard.state.upstream_commands."""
+
+import unittest
+
+from persimmonyard.model import ResultCode
+from persimmonyard.state.commands import (
+    ExpireRecords,
+    RegisterUpstream,
+    SetUpstreamStatus,
+)
+from persimmonyard.state.records import (
+    AttemptOutcome,
+    AttemptState,
+    RequestState,
+    UpstreamStatus,
+)
+from test.state.fixtures import MachineFixture, spec
+
+
+class UpstreamCommandTests(unittest.TestCase):
+    def setUp(self):
+        self.fixture = MachineFixture()
+        self.upstream_by_id = self.fixture.machine.upstream_by_id
+
+    def set_status(self, status):
+        """Change the status of the first upstream."""
+        return self.fixture.run(SetUpstreamStatus("up-0", "a", status))
+
+    def register(self, incarnation):
+        """Announce a start of the first upstream."""
+        return self.fixture.run(RegisterUpstream(spec("up-0", incarnation)))
+
+    def test_late_registration_of_an_earlier_start_is_refused(self):
+        """A delayed command does not end what runs on the newer start."""
+        self.register("b")
+        record = self.fixture.submit()
+        attempt = self.fixture.start(record)
+        self.assertEqual(self.register("a").code, ResultCode.NOT_FOUND)
+        self.assertEqual(attempt.state, AttemptState.STARTED)
+
+    def test_status_lasts_through_loss_and_registration(self):
+        """A leaving or quarantined upstream does not come back as up."""
+        for status in (UpstreamStatus.QUARANTINED, UpstreamStatus.LEAVING):
+            self.set_status(status)
+            self.register("a")
+            self.assertEqual(self.upstream_by_id["up-0"].status, status)
+            self.set_status(UpstreamStatus.LOST)
+            self.register("a")
+            self.assertEqual(self.upstream_by_id["up-0"].status, status)
+            self.set_status(UpstreamStatus.LOST)
+            self.set_status(UpstreamStatus.UP)
+            self.assertEqual(self.upstream_by_id["up-0"].status, status)
+
+    def test_leaving_is_final_for_a_start(self):
+        """A late quarantine or probe result does not undo leaving."""
+        self.set_status(UpstreamStatus.LEAVING)
+        for status in (UpstreamStatus.UP, UpstreamStatus.QUARANTINED):
+            result = self.set_status(status)
+            self.assertEqual(result.code, ResultCode.ALREADY_ENDED)
+
+    def test_quarantine_does_not_revive_a_lost_upstream(self):
+        """Nothing is placed on an upstream that was not heard again."""
+        self.set_status(UpstreamStatus.LOST)
+        self.set_status(UpstreamStatus.QUARANTINED)
+        record = self.upstream_by_id["up-0"]
+        self.assertEqual(record.status, UpstreamStatus.LOST)
+
+    def test_restart_ends_what_ran(self):
+        """Started work stops as lost; placed work waits again."""
+        placed = self.fixture.submit("placed")
+        started = self.fixture.submit("started", gang=2)
+        self.fixture.place(placed)
+        attempt = self.fixture.start(started, ("up-1", "up-0"))
+        self.register("b")
+        self.assertEqual(placed.state, RequestState.ACCEPTED)
+        self.assertEqual(
+            (attempt.state, attempt.lost_members), (AttemptState.STOPPING, (1,))
+        )
+
+    def test_lost_upstream_is_forgotten_after_its_attempts(self):
+        """Replaced instances do not stay in memory for ever."""
+        record = self.fixture.submit()
+        attempt = self.fixture.start(record)
+        self.set_status(UpstreamStatus.LOST)
+        expire = ExpireRecords(before=self.fixture.time + 1)
+        self.fixture.run(expire)
+        self.assertIn("up-0", self.upstream_by_id)
+        self.fixture.end(record, attempt, AttemptOutcome.LOST)
+        self.fixture.run(expire)
+        self.assertEqual(list(self.upstream_by_id), ["up-1"])
