Dispatch attempts with a deterministic core and one renewal per upstream

Cause: a dispatcher dropped an attempt on a lost or failed answer of the leader, counted the start permit from after the prepares, sent one renewal for each member, reported a stop although all members had finished, retried an answer that is too large, and took any task state of a restarted upstream for that of the attempt.

The stand-in enforces permits, fences and leases, keeps ended tasks as long as it runs, resumes from checkpoints, throttles, leaves on SIGTERM, shows more faults, and lists the starts that it honoured.

--- a/packages/daemon/src/persimmonyard/daemon/entry/upstream_calls.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/upstream_calls.py
@@ -2,16 +2,25 @@
 
 import base64
 import hashlib
+import json
 from typing import Any
 
 import httpx
 import msgspec
 
+from persimmonyard.daemon.entry.attempt_events import TaskAnswer, TaskStatus
+from persimmonyard.daemon.entry.upstream_pools import UpstreamPools
 from persimmonyard.daemon.timing import START_PERMIT_S, TASK_LEASE_S
 from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.wire import DispatchMember, DispatchOrder
 
-__all__ = ["TaskAnswer", "TaskStatus", "UpstreamCalls", "UpstreamUnreachableError"]
+__all__ = [
+    "TaskAnswer",
+    "TaskStatus",
+    "UpstreamCalls",
+    "UpstreamUnreachableError",
+    "attempt_id",
+]
 
 CALL_TIMEOUT_S = 2.0
 RESULT_TIMEOUT_S = 10.0
@@ -21,84 +30,50 @@
     """The upstream gave no usable answer; the effect is unknown."""
 
 
-class TaskStatus(msgspec.Struct):
-    """State of one task as its upstream reports it.
-
-    ``state`` is ``unknown``, ``prepared``, ``running``, ``finished``,
-    ``failed`` or ``stopped``.
-    """
-
-    attempt: str
-    member: int
-    state: str
-    began: bool = False
-    message: str = ""
-    checkpoint: str = ""
-    code: int = 0
-
-
-class TaskAnswer(msgspec.Struct):
-    """The checked body of a finished task."""
-
-    body: bytes
-    digest: str
-
-
 class UpstreamCalls:
-    """One HTTP client for all upstreams."""
+    """Calls on upstreams, with a few connections to each of them."""
 
     def __init__(self) -> None:
-        limits = httpx.Limits(max_connections=4_096, max_keepalive_connections=512)
-        self._client = httpx.AsyncClient(limits=limits, trust_env=False)
+        self._client = httpx.AsyncClient(transport=UpstreamPools(), trust_env=False)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._client.aclose()
 
-    async def prepare(self, order: DispatchOrder, member: int) -> TaskStatus:
-        """Reserve a slot; the permit for the start counts from the reply."""
-        body = self._identity(order, member)
-        body |= {
-            "accelerators": order.accelerators,
-            "cores": order.cores,
-            "memory_mb": order.memory_mb,
-            "permit_s": START_PERMIT_S,
-            "checkpoint": order.checkpoint,
-        }
-        return await self._status(order.members[member], "prepare", body)
-
-    async def start(self, order: DispatchOrder, member: int) -> TaskStatus:
-        """Start a prepared task."""
-        body = self._identity(order, member)
-        body |= {
-            "lease_s": TASK_LEASE_S,
-            "declared_run_s": order.declared_run_s,
-            "payload": base64.b64encode(order.payload).decode(),
-        }
-        return await self._status(order.members[member], "start", body)
-
-    async def stop(self, order: DispatchOrder, member: int) -> TaskStatus:
-        """Stop a task; ``began`` tells whether it ever ran."""
-        body = self._identity(order, member)
-        return await self._status(order.members[member], "stop", body)
-
-    async def checkpoint(self, order: DispatchOrder, member: int) -> TaskStatus:
-        """Checkpoint a task and stop it there."""
-        body = self._identity(order, member)
-        return await self._status(order.members[member], "checkpoint", body)
+    async def task_call(
+        self, call: str, order: DispatchOrder, member: int
+    ) -> TaskStatus:
+        """Send a call about one task and return its status.
 
-    async def acknowledge(self, order: DispatchOrder, member: int) -> TaskStatus:
-        """Let the upstream forget a task."""
+        Raises ``UpstreamUnreachableError`` if the effect is unknown, and
+        ``PersimmonyardError`` with the code of a refusal.
+        """
         body = self._identity(order, member)
-        return await self._status(order.members[member], "acknowledge", body)
+        match call:
+            case "prepare":
+                body |= self._prepare_fields(order, member)
+            case "start":
+                body |= self._start_fields(order)
+        target = order.members[member]
+        reply = await self._post(target, call, body, CALL_TIMEOUT_S)
+        status: TaskStatus = self._convert(reply, TaskStatus)
+        if status.attempt != body["attempt"] or status.member != member:
+            raise UpstreamUnreachableError(f"{call}: status of another task")
+        return status
 
     async def renew(
         self, member: DispatchMember, tasks: list[dict[str, Any]], wait_s: float
     ) -> list[TaskStatus]:
-        """Renew leases and return once a task has stopped running."""
-        body = {"lease_s": TASK_LEASE_S, "wait_s": wait_s, "tasks": tasks}
+        """Renew leases and return once a task has another state than known."""
+        body = {
+            "incarnation": member.incarnation,
+            "lease_s": TASK_LEASE_S,
+            "wait_s": wait_s,
+            "tasks": tasks,
+        }
         reply = await self._post(member, "renew", body, wait_s + CALL_TIMEOUT_S)
-        return self._convert(reply.get("tasks"), list[TaskStatus])
+        statuses: list[TaskStatus] = self._convert(reply.get("tasks"), list[TaskStatus])
+        return statuses
 
     async def result(self, order: DispatchOrder, member: int) -> TaskAnswer:
         """Return the answer of a finished task, whole and checked."""
@@ -108,38 +83,46 @@
         )
         return self._checked_answer(order, member, reply)
 
+    def _prepare_fields(self, order: DispatchOrder, member: int) -> dict[str, Any]:
+        return {
+            "accelerators": order.accelerators,
+            "cores": order.cores,
+            "memory_mb": order.memory_mb,
+            "permit_s": START_PERMIT_S,
+            "checkpoint": _member_checkpoint(order, member),
+        }
+
+    def _start_fields(self, order: DispatchOrder) -> dict[str, Any]:
+        return {
+            "lease_s": TASK_LEASE_S,
+            "declared_run_s": order.declared_run_s,
+            "payload": base64.b64encode(order.payload).decode(),
+        }
+
     def _checked_answer(
         self, order: DispatchOrder, member: int, reply: dict[str, Any]
     ) -> TaskAnswer:
-        if reply.get("attempt") != self.attempt_id(order):
+        if reply.get("attempt") != attempt_id(order):
             raise UpstreamUnreachableError("answer of another attempt")
         if reply.get("member") != member:
             raise UpstreamUnreachableError("answer of another member")
-        body = base64.b64decode(reply.get("body", ""))
+        try:
+            body = base64.b64decode(reply.get("body", ""), validate=True)
+        except (ValueError, TypeError) as error:
+            raise UpstreamUnreachableError(f"malformed answer: {error}") from error
         digest = hashlib.sha256(body).hexdigest()
         if len(body) != reply.get("length") or digest != reply.get("digest"):
             raise UpstreamUnreachableError("answer does not match its digest")
         return TaskAnswer(body, digest)
 
-    @staticmethod
-    def attempt_id(order: DispatchOrder) -> str:
-        """Return the identity of an attempt."""
-        return f"{order.request_id}.{order.number}"
-
     def _identity(self, order: DispatchOrder, member: int) -> dict[str, Any]:
         return {
-            "attempt": self.attempt_id(order),
+            "attempt": attempt_id(order),
             "member": member,
             "fence": order.fence,
             "incarnation": order.members[member].incarnation,
         }
 
-    async def _status(
-        self, member: DispatchMember, call: str, body: dict[str, Any]
-    ) -> TaskStatus:
-        reply = await self._post(member, call, body, CALL_TIMEOUT_S)
-        return self._convert(reply, TaskStatus)
-
     def _convert(self, reply: Any, expected: Any) -> Any:
         try:
             return msgspec.convert(reply, expected)
@@ -158,6 +141,27 @@
         if response.status_code >= 500 or not isinstance(reply, dict):
             raise UpstreamUnreachableError(f"{call}: status {response.status_code}")
         if "code" in reply and "state" not in reply and response.status_code >= 400:
-            code = ResultCode(reply["code"])
-            raise PersimmonyardError(code, str(reply.get("message", "")))
+            raise PersimmonyardError(
+                _refusal_code(reply["code"]), str(reply.get("message", ""))
+            )
         return reply
+
+
+def attempt_id(order: DispatchOrder) -> str:
+    """Return the identity of an attempt."""
+    return f"{order.request_id}.{order.number}"
+
+
+def _member_checkpoint(order: DispatchOrder, member: int) -> str:
+    """Return the member's part of what the last attempt left."""
+    if not order.checkpoint or len(order.members) == 1:
+        return order.checkpoint
+    checkpoint: str = json.loads(order.checkpoint)[member]
+    return checkpoint
+
+
+def _refusal_code(value: Any) -> ResultCode:
+    try:
+        return ResultCode(value)
+    except ValueError as error:
+        raise UpstreamUnreachableError(f"unknown code {value!r}") from error
--- a/packages/standin/src/persimmonyard/standin/tasks.py
+++ b/packages/standin/src/persimmonyard/standin/tasks.py
@@ -1,76 +1,136 @@
 """The tasks of a stand-in upstream, following the upstream protocol."""
 
-import asyncio
 import base64
 import hashlib
 import json
 import time
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, NamedTuple
 
 from persimmonyard.model import ResultCode
+from persimmonyard.standin.faults import Behaviour
 
-__all__ = ["Behaviour", "Task", "TaskTable"]
+__all__ = ["HonouredStart", "Task", "TaskTable"]
 
 DEFAULT_RUN_S = 0.05
+# How long an answer is kept after the last call that named its task.
+ANSWER_KEPT_S = 600.0
 
 
-@dataclass
-class Behaviour:
-    """Faults that the stand-in shows; the default shows none."""
+class HonouredStart(NamedTuple):
+    """A start that made a task run, for the oracles of tests."""
 
-    fail_all: bool = False
-    refuse_all: bool = False
-    answer_delay_s: float = 0.0
-    cut_answers: bool = False
-    silent: bool = False
+    attempt: str
+    member: int
+    at: float
+    resumed: bool
 
 
 @dataclass
 class Task:
-    """One member of an attempt on this upstream."""
+    """One member of an attempt on this upstream.
+
+    A task that was stopped or has ended is kept as long as the upstream
+    runs, without its answer, so that a late call never starts it again and
+    ``began`` stays true.  ``checkpoint`` is set only by a checkpoint that the
+    task stopped at, ``resumes_from`` is where it began.
+    """
 
     attempt: str
     member: int
-    state: str = "prepared"
+    state: str = "unknown"
     began: bool = False
+    prepared_fence: int = 0
     permit_until: float = 0.0
     lease_until: float = 0.0
-    ends_at: float = 0.0
+    total_s: float = 0.0
+    done_s: float = 0.0
+    rate: float = 1.0
+    counted_at: float = 0.0
+    named_at: float = 0.0
     body: bytes = b""
     message: str = ""
+    resumes_from: str = ""
     checkpoint: str = ""
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def ends_at(self) -> float:
+        """Return when the task finishes at its present rate."""
+        return self.counted_at + (self.total_s - self.done_s) / self.rate
+
+    def count(self, now: float) -> None:
+        """Add the work done since the last count."""
+        self.done_s += (now - self.counted_at) * self.rate
+        self.counted_at = now
 
 
 class TaskTable:
     """All tasks of one start of an upstream.
 
-    ``starts`` lists every start that was honoured, for the oracles of tests.
+    ``starts`` lists every start that was honoured.  ``clock`` returns
+    seconds.
+
+    Example: ``TaskTable("a", 8).handle("prepare", {"attempt": "r.1",
+    "member": 0, "fence": 1, "incarnation": "a", "permit_s": 2.0})``.
     """
 
-    def __init__(self, incarnation: str, slots: int, behaviour: Behaviour):
+    def __init__(
+        self,
+        incarnation: str,
+        slots: int,
+        behaviour: Behaviour | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        on_start: Callable[[HonouredStart], None] | None = None,
+    ):
         self.incarnation = incarnation
-        self.behaviour = behaviour
-        self.starts: list[tuple[str, int, float]] = []
+        self.behaviour = behaviour or Behaviour()
+        self.starts: list[HonouredStart] = []
         self._slots = slots
+        self._clock = clock
+        self._on_start = on_start
         self._task_by_key: dict[tuple[str, int], Task] = {}
+        self._active_by_key: dict[tuple[str, int], Task] = {}
+        self._answered_by_key: dict[tuple[str, int], Task] = {}
         self._fence_by_attempt: dict[str, int] = {}
 
+    # Reading.
+
     def busy(self) -> int:
         """Return the number of slots in use."""
         self._expire()
-        count = 0
-        for task in self._task_by_key.values():
-            if task.state in ("prepared", "running"):
-                count += 1
-        return count
+        return len(self._active_by_key)
+
+    def kept_answers(self) -> int:
+        """Return the number of answers that were not acknowledged."""
+        self._expire()
+        return len(self._answered_by_key)
+
+    def running(self) -> list[tuple[str, int]]:
+        """Return the attempt and member of each running task."""
+        self._expire()
+        keys = []
+        for key, task in self._active_by_key.items():
+            if task.state == "running":
+                keys.append(key)
+        return keys
+
+    def seconds_to_next_end(self) -> float | None:
+        """Return when the first running task finishes, from now."""
+        now = self._clock()
+        delays = []
+        for task in self._active_by_key.values():
+            if task.state == "running":
+                delays.append(max(0.0, task.ends_at() - now))
+        return min(delays, default=None)
+
+    # Calls.
 
     def handle(self, call: str, body: dict[str, Any]) -> dict[str, Any]:
         """Answer one call about one task."""
-        refusal = self._check(body)
-        if refusal is not None:
-            return refusal
+        if body.get("incarnation") != self.incarnation:
+            return _refusal(ResultCode.UNKNOWN_ATTEMPT, "another incarnation")
+        if self._stale(body):
+            return _refusal(ResultCode.STALE_FENCE, "a newer fence is known")
         self._expire()
         match call:
             case "prepare":
@@ -82,112 +142,124 @@
             case "checkpoint":
                 return self._checkpoint(body)
             case "throttle":
-                return self._report(body)
+                return self._throttle(body)
             case "result":
                 return self._result(body)
             case "acknowledge":
-                self._task_by_key.pop(self._key(body), None)
-                return self._report(body)
+                return self._acknowledge(body)
         return _refusal(ResultCode.NOT_FOUND, f"no call {call!r}")
 
-    async def renew(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Renew leases; answer once a task is not running or time is up."""
-        deadline = time.monotonic() + body["wait_s"]
-        tasks = body["tasks"]
-        while True:
-            self._expire()
-            replies = [self._renew_one(one, body["lease_s"]) for one in tasks]
-            if any(reply["state"] != "running" for reply in replies):
-                return {"tasks": replies}
-            left = deadline - time.monotonic()
-            if left <= 0:
-                return {"tasks": replies}
-            await asyncio.sleep(min(left, self._until_next_end()))
+    def renew(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Renew the leases of all named tasks, counted from now."""
+        if body.get("incarnation") != self.incarnation:
+            return _refusal(ResultCode.UNKNOWN_ATTEMPT, "another incarnation")
+        self._expire()
+        now = self._clock()
+        for one in body["tasks"]:
+            task = self._task_by_key.get(_key(one))
+            if self._stale(one) or task is None:
+                continue
+            task.named_at = now
+            task.lease_until = now + body["lease_s"]
+        return self.statuses(body)
+
+    def statuses(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Return the state of all tasks that a renewal names."""
+        self._expire()
+        replies = []
+        for one in body["tasks"]:
+            reply = self._report(one)
+            if self._stale(one):
+                reply["code"] = int(ResultCode.STALE_FENCE)
+            replies.append(reply)
+        return {"tasks": replies}
 
     # Single calls.
 
     def _prepare(self, body: dict[str, Any]) -> dict[str, Any]:
         if self.behaviour.refuse_all:
             return _refusal(ResultCode.NO_FREE_SLOT, "refusing")
-        key = self._key(body)
+        key = _key(body)
         task = self._task_by_key.get(key)
-        if task is None and self.busy() >= self._slots:
+        if task is None and len(self._active_by_key) >= self._slots:
             return _refusal(ResultCode.NO_FREE_SLOT, "no free slot")
         if task is None:
-            task = Task(body["attempt"], body["member"])
+            task = Task(body["attempt"], body["member"], "prepared")
             self._task_by_key[key] = task
+            self._active_by_key[key] = task
         if task.state == "prepared":
-            task.permit_until = time.monotonic() + body["permit_s"]
+            task.prepared_fence = body["fence"]
+            task.permit_until = self._clock() + body["permit_s"]
+            task.resumes_from = body.get("checkpoint", "")
         return self._report(body)
 
     def _start(self, body: dict[str, Any]) -> dict[str, Any]:
-        task = self._task_by_key.get(self._key(body))
+        task = self._task_by_key.get(_key(body))
         if task is None:
             return _refusal(ResultCode.UNKNOWN_ATTEMPT, "not prepared")
         if task.began:
             return self._report(body)
-        now = time.monotonic()
-        if task.state != "prepared" or now > task.permit_until:
-            return _refusal(ResultCode.PERMIT_EXPIRED, "the permit has expired")
+        now = self._clock()
+        if task.state != "prepared" or task.prepared_fence != body["fence"]:
+            return _refusal(ResultCode.PERMIT_EXPIRED, "not prepared for this start")
+        payload = base64.b64decode(body["payload"])
         task.state = "running"
         task.began = True
         task.lease_until = now + body["lease_s"]
-        payload = base64.b64decode(body["payload"])
-        task.ends_at = now + _run_time(payload)
+        task.total_s = _run_time(payload)
+        task.done_s = _checkpointed_s(task.resumes_from)
+        task.counted_at = now
         task.body = b"answer:%d:" % task.member + payload
-        self.starts.append((task.attempt, task.member, now))
+        resumed = bool(task.resumes_from)
+        honoured = HonouredStart(task.attempt, task.member, now, resumed)
+        self.starts.append(honoured)
+        if self._on_start is not None:
+            self._on_start(honoured)
         return self._report(body)
 
     def _stop(self, body: dict[str, Any]) -> dict[str, Any]:
-        key = self._key(body)
-        task = self._task_by_key.get(key)
-        if task is None:
-            task = Task(body["attempt"], body["member"], state="stopped")
-            self._task_by_key[key] = task
-        if task.state in ("prepared", "running"):
-            task.state = "stopped"
+        key = _key(body)
+        task = self._task_by_key.setdefault(key, Task(*key, state="stopped"))
+        if key in self._active_by_key:
+            self._end(task, "stopped")
         return self._report(body)
 
     def _checkpoint(self, body: dict[str, Any]) -> dict[str, Any]:
-        task = self._task_by_key.get(self._key(body))
+        task = self._task_by_key.get(_key(body))
         if task is not None and task.state == "running":
-            task.checkpoint = f"checkpoint/{task.attempt}/{task.member}"
+            task.count(self._clock())
+            task.checkpoint = f"checkpoint/{task.attempt}/{task.member}/{task.done_s}"
         return self._stop(body)
 
+    def _throttle(self, body: dict[str, Any]) -> dict[str, Any]:
+        task = self._task_by_key.get(_key(body))
+        if task is not None and task.state == "running":
+            task.count(self._clock())
+            task.rate = max(0.01, min(1.0, body["rate"]))
+        return self._report(body)
+
     def _result(self, body: dict[str, Any]) -> dict[str, Any]:
-        task = self._task_by_key.get(self._key(body))
-        if task is None or task.state != "finished":
+        task = self._answered_by_key.get(_key(body))
+        if task is None:
             return _refusal(ResultCode.UNKNOWN_ATTEMPT, "no answer")
-        content = task.body
-        digest = hashlib.sha256(content).hexdigest()
-        if self.behaviour.cut_answers:
-            content = content[:-1]
+        task.named_at = self._clock()
         return {
             "attempt": task.attempt,
             "member": task.member,
-            "body": base64.b64encode(content).decode(),
+            "body": base64.b64encode(task.body).decode(),
             "length": len(task.body),
-            "digest": digest,
+            "digest": hashlib.sha256(task.body).hexdigest(),
         }
 
-    def _renew_one(self, one: dict[str, Any], lease_s: float) -> dict[str, Any]:
-        stale = self._stale(one)
-        if stale:
-            return self._report(one) | {"code": int(ResultCode.STALE_FENCE)}
-        task = self._task_by_key.get(self._key(one))
-        if task is not None and task.state == "running":
-            task.lease_until = time.monotonic() + lease_s
-        return self._report(one)
+    def _acknowledge(self, body: dict[str, Any]) -> dict[str, Any]:
+        reply = self._stop(body)
+        task = self._answered_by_key.pop(_key(body), None)
+        if task is not None:
+            task.body = b""
+        return reply
 
     # Helpers.
 
-    def _check(self, body: dict[str, Any]) -> dict[str, Any] | None:
-        if body.get("incarnation") != self.incarnation:
-            return _refusal(ResultCode.UNKNOWN_ATTEMPT, "another incarnation")
-        if self._stale(body):
-            return _refusal(ResultCode.STALE_FENCE, "a newer fence is known")
-        return None
-
     def _stale(self, body: dict[str, Any]) -> bool:
         known = self._fence_by_attempt.get(body["attempt"], 0)
         if body["fence"] < known:
@@ -195,13 +267,9 @@
         self._fence_by_attempt[body["attempt"]] = body["fence"]
         return False
 
-    def _key(self, body: dict[str, Any]) -> tuple[str, int]:
-        return body["attempt"], body["member"]
-
     def _report(self, body: dict[str, Any]) -> dict[str, Any]:
-        task = self._task_by_key.get(self._key(body))
-        if task is None:
-            task = Task(body["attempt"], body["member"], state="unknown")
+        key = _key(body)
+        task = self._task_by_key.get(key) or Task(*key)
         return {
             "attempt": task.attempt,
             "member": task.member,
@@ -212,30 +280,42 @@
         }
 
     def _expire(self) -> None:
-        now = time.monotonic()
-        for task in self._task_by_key.values():
-            if task.state == "prepared" and now > task.permit_until:
-                task.state = "stopped"
-            if task.state != "running":
+        now = self._clock()
+        for key, task in list(self._active_by_key.items()):
+            if task.state == "prepared":
+                if now > task.permit_until:
+                    # Nothing was promised about the attempt: another entry
+                    # may prepare it again under a newer fence.
+                    del self._active_by_key[key]
+                    del self._task_by_key[key]
                 continue
-            if now >= task.ends_at:
-                self._end(task)
+            ends_at = task.ends_at()
+            if ends_at <= min(now, task.lease_until):
+                self._finish(task, ends_at)
             elif now > task.lease_until:
-                task.state = "stopped"
-
-    def _end(self, task: Task) -> None:
-        task.state = "finished"
+                task.message = "the lease ran out"
+                self._end(task, "stopped")
+        for key, task in list(self._answered_by_key.items()):
+            if now > task.named_at + ANSWER_KEPT_S:
+                del self._answered_by_key[key]
+                task.body = b""
+
+    def _finish(self, task: Task, at: float) -> None:
+        task.named_at = at
         if self.behaviour.fail_all:
-            task.state = "failed"
             task.message = "the stand-in fails every task"
+            self._end(task, "failed")
+            return
+        self._end(task, "finished")
+        self._answered_by_key[(task.attempt, task.member)] = task
+
+    def _end(self, task: Task, state: str) -> None:
+        task.state = state
+        del self._active_by_key[(task.attempt, task.member)]
 
-    def _until_next_end(self) -> float:
-        now = time.monotonic()
-        delay = 0.25
-        for task in self._task_by_key.values():
-            if task.state == "running":
-                delay = min(delay, task.ends_at - now)
-        return max(0.005, delay)
+
+def _key(body: dict[str, Any]) -> tuple[str, int]:
+    return body["attempt"], body["member"]
 
 
 def _run_time(payload: bytes) -> float:
@@ -245,5 +325,10 @@
         return DEFAULT_RUN_S
 
 
+def _checkpointed_s(checkpoint: str) -> float:
+    """Return how much of the run a checkpoint covers, in seconds."""
+    return float(checkpoint.rpartition("/")[2]) if checkpoint else 0.0
+
+
 def _refusal(code: ResultCode, message: str) -> dict[str, Any]:
     return {"code": int(code), "name": code.name, "message": message}
--- a/packages/standin/src/persimmonyard/standin/upstream.py
+++ b/packages/standin/src/persimmonyard/standin/upstream.py
@@ -2,30 +2,39 @@
 
 import asyncio
 import contextlib
-import itertools
+import json
 import secrets
 import signal
 import socket
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Annotated, Any
 
-import httpx
+import msgspec
 import typer
 import uvicorn
-from litestar import Litestar, Request, Response, post
+from litestar import Litestar, Request, Response, get, post
 
-from persimmonyard.standin.tasks import Behaviour, TaskTable
+from persimmonyard.standin.announcer import Announcer
+from persimmonyard.standin.faults import AnswerFaults, Behaviour
+from persimmonyard.standin.tasks import HonouredStart, TaskTable
 
 __all__ = ["StandinSettings", "StandinUpstream", "run"]
 
-ANNOUNCE_TIMEOUT_S = 2.0
-RETRY_S = 0.3
+VANISHED_S = 3_600.0
+RENEWAL_CHECK_S = 0.25
+DRAIN_CHECK_S = 0.1
+CLOSE_LIMIT_S = 2
 
 
 @dataclass
 class StandinSettings:
-    """Identity, capacity and entries of a stand-in."""
+    """Identity, capacity and entries of a stand-in.
+
+    ``drain_s`` bounds how long a stop waits for tasks and answers.
+    ``starts_file`` gets one JSON line for each honoured start.
+    """
 
     upstream_id: str
     zone: str
@@ -36,58 +45,72 @@
     cores: int = 64
     memory_mb: int = 262_144
     slots: int = 8
+    port: int = 0
+    drain_s: float = 10.0
+    starts_file: Path | None = None
     behaviour: Behaviour = field(default_factory=Behaviour)
 
 
 class StandinUpstream:
-    """One upstream on a loopback port that the kernel chooses."""
+    """One upstream on a loopback port; the kernel chooses it for port 0."""
 
     def __init__(self, settings: StandinSettings):
         self.settings = settings
-        self.incarnation = secrets.token_hex(4)
-        self.tasks = TaskTable(self.incarnation, settings.slots, settings.behaviour)
-        self.leaving = False
-        self.lease_until = 0.0
-        self._socket = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self._socket = socket.create_server(("127.0.0.1", settings.port), backlog=512)
         self.port = self._socket.getsockname()[1]
-        self._jobs: list[asyncio.Task] = []
+        self.announcer = Announcer(
+            settings.entries, settings.token, settings.behaviour, self._announcement
+        )
+        self._server_task: asyncio.Task[None] | None = None
+        self._forget()
+
+    def _forget(self) -> None:
+        """Lose all tasks, as a restart does."""
+        self.incarnation = secrets.token_hex(4)
+        self.answer_faults = AnswerFaults()
+        self.tasks = TaskTable(
+            self.incarnation,
+            self.settings.slots,
+            self.settings.behaviour,
+            on_start=self._record_start,
+        )
 
     async def start(self) -> None:
         """Serve and announce."""
         config = uvicorn.Config(
-            self._build_app(), log_config=None, access_log=False, lifespan="off"
+            self._build_app(),
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            timeout_graceful_shutdown=CLOSE_LIMIT_S,
         )
         self._server = uvicorn.Server(config)
         self._server.capture_signals = contextlib.nullcontext  # type: ignore
-        self._jobs.append(
-            asyncio.create_task(self._server.serve(sockets=[self._socket]))
-        )
-        self._announcer = asyncio.create_task(self._announce_loop())
+        serve = self._server.serve(sockets=[self._socket])
+        self._server_task = asyncio.create_task(serve)
+        self.announcer.start()
+
+    async def leave(self) -> None:
+        """Announce at once that this upstream is leaving."""
+        await self.announcer.leave()
 
     async def stop(self) -> None:
-        """Stop announcing and serving."""
-        self._announcer.cancel()
+        """Leave, finish all tasks, wait for acknowledgements, and stop."""
+        await self.leave()
+        await self._drain()
+        await self.announcer.stop()
         self._server.should_exit = True
-        await asyncio.gather(*self._jobs)
+        if self._server_task is not None:
+            await self._server_task
 
-    async def leave(self) -> None:
-        """Announce that this upstream is leaving."""
-        self.leaving = True
-        async with httpx.AsyncClient(trust_env=False) as client:
-            await self._announce(client, self.settings.entries[0])
-
-    async def _announce_loop(self) -> None:
-        async with httpx.AsyncClient(trust_env=False) as client:
-            for entry in itertools.cycle(self.settings.entries):
-                pause = RETRY_S
-                with contextlib.suppress(httpx.HTTPError, KeyError, ValueError):
-                    pause = await self._announce(client, entry)
-                await asyncio.sleep(pause)
-
-    async def _announce(self, client: httpx.AsyncClient, entry: str) -> float:
-        if self.settings.behaviour.silent:
-            return RETRY_S
-        sent_at = time.monotonic()
+    async def _drain(self) -> None:
+        deadline = time.monotonic() + self.settings.drain_s
+        while time.monotonic() < deadline:
+            if not self.tasks.busy() and not self.tasks.kept_answers():
+                return
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    def _announcement(self) -> dict[str, Any]:
         settings = self.settings
         spec = {
             "upstream_id": settings.upstream_id,
@@ -100,28 +123,71 @@
             "memory_mb": settings.memory_mb,
             "slots": settings.slots,
         }
-        response = await client.post(
-            f"{entry}/v1/upstreams/announce",
-            json={"spec": spec, "sent_at": sent_at, "leaving": self.leaving},
-            headers={"Authorization": f"Bearer {settings.token}"},
-            timeout=ANNOUNCE_TIMEOUT_S,
-        )
-        reply = response.raise_for_status().json()
-        self.lease_until = reply["sent_at"] + reply["lease_s"]
-        return float(reply["heartbeat_s"])
+        return {"spec": spec, "busy": self.tasks.busy()}
+
+    def _record_start(self, start: HonouredStart) -> None:
+        if self.settings.starts_file is None:
+            return
+        line = json.dumps(start._asdict() | {"upstream": self.settings.upstream_id})
+        with self.settings.starts_file.open("a") as file:
+            file.write(f"{line}\n")
+
+    # Calls.
+
+    async def _call(self, call: str, body: dict[str, Any]) -> dict[str, Any]:
+        behaviour = self.settings.behaviour
+        if behaviour.vanish:
+            await asyncio.sleep(VANISHED_S)
+        if call == "renew":
+            return await self._renew(body)
+        reply = self.tasks.handle(call, body)
+        if call == "start":
+            await asyncio.sleep(behaviour.start_delay_s)
+        if call == "result" and "name" not in reply:
+            reply, delay = self.answer_faults.apply(reply, behaviour)
+            await asyncio.sleep(delay)
+        return reply
+
+    async def _renew(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer once a task has another state than the entry knows."""
+        deadline = time.monotonic() + body["wait_s"]
+        reply = self.tasks.renew(body)
+        while "tasks" in reply:
+            for one, status in zip(body["tasks"], reply["tasks"], strict=True):
+                if one["known_state"] != status["state"] or "code" in status:
+                    return reply
+            left = deadline - time.monotonic()
+            if left <= 0:
+                break
+            next_end = self.tasks.seconds_to_next_end() or RENEWAL_CHECK_S
+            await asyncio.sleep(min(left, RENEWAL_CHECK_S, next_end + 0.001))
+            reply = self.tasks.statuses(body)
+        return reply
+
+    def _set_behaviour(self, body: dict[str, Any]) -> None:
+        """Change the faults while the stand-in runs."""
+        if body.pop("forget", False):
+            self._forget()
+        changed = msgspec.convert(body, Behaviour)
+        for name in body:
+            setattr(self.settings.behaviour, name, getattr(changed, name))
 
     def _build_app(self) -> Litestar:
         @post("/v1/tasks/{call:str}", status_code=200)
         async def task_call(request: Request, call: str) -> Response[Any]:
-            body = await request.json()
-            await asyncio.sleep(self.settings.behaviour.answer_delay_s)
-            if call == "renew":
-                return Response(await self.tasks.renew(body))
-            reply = self.tasks.handle(call, body)
-            status = 409 if "name" in reply else 200
-            return Response(reply, status_code=status)
+            reply = await self._call(call, await request.json())
+            return Response(reply, status_code=409 if "name" in reply else 200)
+
+        @get("/starts")
+        async def starts() -> Response[Any]:
+            return Response([start._asdict() for start in self.tasks.starts])
+
+        @post("/faults", status_code=200)
+        async def faults(request: Request) -> Response[Any]:
+            self._set_behaviour(await request.json())
+            return Response({})
 
-        return Litestar([task_call])
+        return Litestar([task_call, starts, faults])
 
 
 async def _serve(settings: StandinSettings) -> None:
@@ -146,11 +212,26 @@
     token: Annotated[str, typer.Option()],
     entry: Annotated[list[str], typer.Option(help="Base URL of an entry.")],
     fail_all: Annotated[bool, typer.Option()] = False,
+    faults: Annotated[str, typer.Option(help="Behaviour as JSON.")] = "{}",
+    port: Annotated[int, typer.Option()] = 0,
+    slots: Annotated[int, typer.Option()] = 8,
+    drain_s: Annotated[float, typer.Option()] = 10.0,
+    starts_file: Annotated[Path | None, typer.Option()] = None,
 ) -> None:
     """Run one stand-in upstream until it is told to stop."""
-    behaviour = Behaviour(fail_all=fail_all)
+    behaviour = msgspec.json.decode(faults, type=Behaviour)
+    behaviour.fail_all = behaviour.fail_all or fail_all
     settings = StandinSettings(
-        upstream_id, zone, rack, token, entry, behaviour=behaviour
+        upstream_id,
+        zone,
+        rack,
+        token,
+        entry,
+        slots=slots,
+        port=port,
+        drain_s=drain_s,
+        starts_file=starts_file,
+        behaviour=behaviour,
     )
     asyncio.run(_serve(settings))
 
