--- a/packages/daemon/src/persimmonyard/daemon/control/sessions.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/sessions.py
@@ -95,6 +95,8 @@
     def open(self, beat: EntryBeat) -> EntrySession:
         """Return a new session for the entry that sent ``beat``."""
         session = EntrySession(beat.entry_id, beat.zone, self._expiry())
+        version = self._ledger.machine.configuration.version
+        session.sent_version = min(beat.configuration_version, version)
         self._session_by_entry[beat.entry_id] = session
         self._logger.info("session opened", entry=beat.entry_id)
         return session
@@ -111,11 +113,12 @@
             record = machine.request_by_id.get(request_id)
             if record is not None and record.ended():
                 outcomes.append(outcome_of(record))
+        # The update travels with the lease, so that an entry never holds a
+        # new lease on an older configuration.
+        update = self._next_update(session)
         session.outbox.put_nowait(
-            LeaderBeat(beat.sequence, ENTRY_LEASE_S, outcomes=tuple(outcomes))
+            LeaderBeat(beat.sequence, ENTRY_LEASE_S, update, outcomes=tuple(outcomes))
         )
-        if session.sent_version < machine.configuration.version:
-            self._push_configuration(session)
         if beat.sequence == 1:
             for request_id in list(self._request_ids_by_entry.get(beat.entry_id, ())):
                 self._push_request(machine.request_by_id[request_id])
@@ -175,7 +178,8 @@
         if now < self._led_since + ENTRY_LEASE_S * CLOCK_MARGIN:
             return
         for entry_id in list(self._request_ids_by_entry):
-            if entry_id in self._session_by_entry:
+            holder = self._session_by_entry.get(entry_id)
+            if holder is not None and not holder.stopping:
                 continue
             for request_id in list(self._request_ids_by_entry[entry_id]):
                 await self._reassign(request_id)
@@ -215,8 +219,16 @@
             ids.add(record.request_id)
 
     def _push_configuration(self, session: EntrySession) -> None:
+        update = self._next_update(session)
+        if update is not None:
+            session.push(update)
+
+    def _next_update(self, session: EntrySession) -> ConfigurationUpdate | None:
         machine = self._ledger.machine
         version = machine.configuration.version
+        base = session.sent_version
+        if base >= version:
+            return None
         changes: list = []
         full = False
         for number in range(session.sent_version + 1, version + 1):
@@ -228,7 +240,7 @@
         if full:
             changes = machine.configuration.as_changes()
         session.sent_version = version
-        session.push(ConfigurationUpdate(version, tuple(changes), full))
+        return ConfigurationUpdate(version, tuple(changes), full, base)
 
     def _push_request(self, record: RequestRecord) -> None:
         if record.ended():
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/announcements.py
@@ -0,0 +1,121 @@
+"""Announcements of upstreams."""
+
+import ipaddress
+import math
+
+import msgspec
+from litestar import Request
+
+from persimmonyard.daemon.entry.filters import FilterChain
+from persimmonyard.daemon.entry.leader import LeaderClient
+from persimmonyard.daemon.entry.local_state import LocalState
+from persimmonyard.daemon.entry.parsing import parse, require, require_range
+from persimmonyard.daemon.entry.results import checked
+from persimmonyard.daemon.timing import UPSTREAM_HEARTBEAT_S, UPSTREAM_LEASE_S
+from persimmonyard.model import ResultCode, Role, UpstreamSpec
+from persimmonyard.state.commands import RegisterUpstream, SetUpstreamStatus
+from persimmonyard.state.records import UpstreamStatus
+
+__all__ = ["AnnouncementBody", "Announcements"]
+
+MAX_NAME_LENGTH = 128
+MAX_COUNT = 1 << 40
+
+
+class AnnouncementBody(msgspec.Struct):
+    """The body of ``POST /v1/upstreams/announce``.
+
+    ``accelerators_busy`` is the usage that the upstream measured last.
+    Unknown fields are ignored, so that an upstream can be newer than an
+    entry.
+    """
+
+    spec: UpstreamSpec
+    sent_at: float
+    leaving: bool = False
+    accelerators_busy: float = 0.0
+
+
+class Announcements:
+    """Record upstreams when something changed, else pass heartbeats on."""
+
+    def __init__(self, state: LocalState, leader: LeaderClient, chain: FilterChain):
+        self._state = state
+        self._leader = leader
+        self._chain = chain
+        self._known_by_id: dict[str, tuple[UpstreamSpec, bool]] = {}
+
+    def forget(self) -> None:
+        """Assume nothing about what the next leader knows."""
+        self._known_by_id = {}
+
+    async def announce(self, request: Request) -> dict[str, float]:
+        """Record an upstream and grant it a lease."""
+        async with self._chain.pass_call(request, Role.UPSTREAM) as call:
+            body = parse(call.body, AnnouncementBody)
+            _check(body)
+            await self._record(body)
+            spec = body.spec
+            self._state.heard(
+                spec.upstream_id, spec.incarnation, body.accelerators_busy
+            )
+            return {
+                "sent_at": body.sent_at,
+                "lease_s": UPSTREAM_LEASE_S,
+                "heartbeat_s": UPSTREAM_HEARTBEAT_S,
+            }
+
+    async def _record(self, body: AnnouncementBody) -> None:
+        """Send the leader what it may not know; commands are idempotent."""
+        current = (body.spec, body.leaving)
+        if self._known_by_id.get(body.spec.upstream_id) == current:
+            return
+        if not (body.leaving and await self._set_leaving(body.spec)):
+            checked(await self._leader.execute(RegisterUpstream(body.spec)))
+            if body.leaving:
+                await self._set_leaving(body.spec)
+        self._known_by_id[body.spec.upstream_id] = current
+
+    async def _set_leaving(self, spec: UpstreamSpec) -> bool:
+        """Commit that an upstream leaves; return whether it was known."""
+        command = SetUpstreamStatus(
+            spec.upstream_id,
+            spec.incarnation,
+            UpstreamStatus.LEAVING,
+            "announced by the upstream",
+        )
+        result = await self._leader.execute(command)
+        if result.code == ResultCode.NOT_FOUND:
+            return False
+        checked(result)
+        return True
+
+
+def _check(body: AnnouncementBody) -> None:
+    spec = body.spec
+    for field in ("upstream_id", "incarnation", "zone", "rack"):
+        _check_name(f"spec.{field}", getattr(spec, field))
+    for field in ("accelerators", "cores", "memory_mb"):
+        require_range(f"spec.{field}", getattr(spec, field), 0, MAX_COUNT)
+    for field in ("slots", "connections"):
+        require_range(f"spec.{field}", getattr(spec, field), 1, MAX_COUNT)
+    _check_address("spec.address", spec.address)
+    require(math.isfinite(body.sent_at), "sent_at", "a finite number of seconds")
+    require_range(
+        "accelerators_busy", body.accelerators_busy, 0, max(spec.accelerators, 0)
+    )
+
+
+def _check_name(field: str, value: str) -> None:
+    fits = 1 <= len(value) <= MAX_NAME_LENGTH and value.isprintable()
+    require(fits, field, f"1 to {MAX_NAME_LENGTH} printable characters")
+
+
+def _check_address(field: str, address: str) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        valid = 1 <= int(port) <= 65_535
+    except ValueError:
+        valid = False
+    require(valid, field, "a numeric IP address and a port, like 10.0.0.7:9000")
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/app.py
@@ -0,0 +1,125 @@
+"""The HTTP application of an entry: paths, metrics, health."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from litestar import Litestar, Request, Response
+from litestar.handlers import HTTPRouteHandler
+
+from persimmonyard.daemon.entry.announcements import Announcements
+from persimmonyard.daemon.entry.filters import FilterChain
+from persimmonyard.daemon.entry.local_state import LocalState
+from persimmonyard.daemon.entry.operator_api import OperatorApi
+from persimmonyard.daemon.entry.requests_api import RequestApi
+from persimmonyard.daemon.errors import exception_handlers
+from persimmonyard.daemon.metrics import EntryMetrics
+from persimmonyard.model import PersimmonyardError, ResultCode
+
+__all__ = ["EntryApp"]
+
+Handler = Callable[..., Awaitable[Any]]
+
+
+class EntryApp:
+    """Route calls to the handlers and count them."""
+
+    def __init__(
+        self,
+        state: LocalState,
+        chain: FilterChain,
+        metrics: EntryMetrics,
+        requests: RequestApi,
+        operators: OperatorApi,
+        announcements: Announcements,
+    ):
+        self.stopping = False
+        self._state = state
+        self._chain = chain
+        self._metrics = metrics
+        self._requests = requests
+        self._operators = operators
+        self._announcements = announcements
+
+    def build(self) -> Litestar:
+        """Return the litestar application."""
+        requests = self._requests
+        operators = self._operators
+        one = "/v1/requests/{request_id:str}"
+        configuration = "/v1/operator/configuration"
+        handlers = [
+            self._route("POST", "/v1/requests", "submit", requests.submit),
+            self._route("GET", one, "fetch", requests.fetch),
+            self._route("POST", f"{one}/cancel", "cancel", requests.cancel),
+            self._route(
+                "POST", f"{one}/acknowledge", "acknowledge", requests.acknowledge
+            ),
+            self._route("GET", f"{one}/explain", "explain", requests.explain),
+            self._route("GET", configuration, "configuration", operators.configuration),
+            self._route("POST", configuration, "apply", operators.apply),
+            self._route("GET", "/v1/operator/status", "status", operators.status),
+            self._route("GET", "/v1/dump", "dump", operators.dump),
+            self._route(
+                "POST",
+                "/v1/upstreams/announce",
+                "announce",
+                self._announcements.announce,
+            ),
+            self._plain("/health", self.health),
+            self._plain("/metrics", self.metrics),
+        ]
+        # The body filter enforces the limit of the settings while reading.
+        return Litestar(
+            handlers,
+            exception_handlers=exception_handlers,
+            request_max_body_size=None,
+            openapi_config=None,
+        )
+
+    def health(self) -> Response[Any]:
+        """Tell a load balancer whether to send calls here."""
+        valid = self._state.lease_valid()
+        status = "ok" if valid else "no lease"
+        if self.stopping:
+            status = "stopping"
+        code = 200 if status == "ok" else 503
+        return Response({"status": status, "lease_valid": valid}, status_code=code)
+
+    def metrics(self) -> Response[Any]:
+        """Return the metrics in the Prometheus text format."""
+        body, media_type = self._metrics.text()
+        return Response(body, media_type=media_type)
+
+    def _route(
+        self, method: Any, path: str, operation: str, handler: Handler
+    ) -> HTTPRouteHandler:
+        async def call(request: Request) -> Response[Any]:
+            return await self._counted(operation, handler, request)
+
+        return HTTPRouteHandler(path, http_method=method, status_code=200)(call)
+
+    def _plain(
+        self, path: str, handler: Callable[[], Response[Any]]
+    ) -> HTTPRouteHandler:
+        async def call() -> Response[Any]:
+            return handler()
+
+        return HTTPRouteHandler(path, http_method="GET", status_code=200)(call)
+
+    async def _counted(
+        self, operation: str, handler: Handler, request: Request
+    ) -> Response[Any]:
+        began = time.monotonic()
+        code = int(ResultCode.INTERNAL_ERROR)
+        try:
+            body = await handler(request, **request.path_params)
+            code = body.get("code", 0) if operation in ("submit", "fetch") else 0
+        except PersimmonyardError as error:
+            code = int(error.code)
+            raise
+        finally:
+            work_class = getattr(request.state, "work_class", "")
+            seconds = time.monotonic() - began
+            self._metrics.count_call(operation, work_class, code, seconds)
+        headers = {"Connection": "close"} if self.stopping else {}
+        return Response(body, headers=headers)
--- a/packages/daemon/src/persimmonyard/daemon/entry/filters.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/filters.py
@@ -4,28 +4,32 @@
 error that the caller gets.
 """
 
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Protocol
 
 from litestar import Request
 
+from persimmonyard.daemon.entry.access import AccessTable
 from persimmonyard.daemon.entry.local_state import LocalState
 from persimmonyard.daemon.settings import Settings
-from persimmonyard.daemon.tokens import matches_any
 from persimmonyard.model import PersimmonyardError, ResultCode, Role
 
 __all__ = ["Call", "FilterChain"]
 
-OPERATOR_ACCOUNT = "operator"
-UPSTREAM_ACCOUNT = "upstream"
-
 
 @dataclass
 class Call:
-    """One HTTP call on its way through the chain."""
+    """One HTTP call on its way through the chain.
+
+    Calls that only look at this process need no configuration lease.
+    """
 
     request: Request
     role: Role
+    needs_lease: bool = True
     client_account: str = ""
     body: bytes = b""
 
@@ -41,11 +45,11 @@
     """Refuse new calls while the process is shutting down."""
 
     def __init__(self) -> None:
-        self.stopping = False
+        self.refusing = False
 
     async def __call__(self, call: Call) -> None:
         """Raise STOPPING during a shutdown."""
-        if self.stopping:
+        if self.refusing and call.needs_lease:
             raise PersimmonyardError(ResultCode.STOPPING, "this entry is stopping")
 
 
@@ -57,7 +61,7 @@
 
     async def __call__(self, call: Call) -> None:
         """Raise CONFIGURATION_LEASE_EXPIRED without a valid lease."""
-        if not self._state.lease_valid():
+        if call.needs_lease and not self._state.lease_valid():
             raise PersimmonyardError(
                 ResultCode.CONFIGURATION_LEASE_EXPIRED,
                 "this entry has no contact to the control leader",
@@ -67,62 +71,110 @@
 class TokenFilter:
     """Find the client account or role that the bearer token belongs to."""
 
-    def __init__(self, settings: Settings, state: LocalState):
-        self._settings = settings
-        self._state = state
+    def __init__(self, access: AccessTable):
+        self._access = access
 
     async def __call__(self, call: Call) -> None:
-        """Raise UNAUTHENTICATED for a token without the wanted role."""
-        header = call.request.headers.get("authorization", "")
-        token = header.removeprefix("Bearer ")
-        account = self._account(token, call.role)
-        if account is None:
-            raise PersimmonyardError(ResultCode.UNAUTHENTICATED, "token not accepted")
-        call.client_account = account
-
-    def _account(self, token: str, role: Role) -> str | None:
-        access = self._settings.access
-        if role == Role.OPERATOR and matches_any(token, access.operator_token_hashes):
-            return OPERATOR_ACCOUNT
-        if role == Role.UPSTREAM and matches_any(token, access.upstream_token_hashes):
-            return UPSTREAM_ACCOUNT
-        account = self._state.account_for(token)
-        if account is None or account.role != role:
-            return None
-        return account.name
+        """Raise UNAUTHENTICATED or FORBIDDEN for a token without the role."""
+        scheme, _, token = call.request.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not token:
+            raise PersimmonyardError(
+                ResultCode.UNAUTHENTICATED, "the call has no bearer token"
+            )
+        holder = self._access.holder_of(token.strip())
+        if holder is None:
+            raise PersimmonyardError(
+                ResultCode.UNAUTHENTICATED, "the token is not accepted"
+            )
+        if holder.role != call.role:
+            raise PersimmonyardError(
+                ResultCode.FORBIDDEN, f"the call needs a token of role {call.role}"
+            )
+        call.client_account = holder.name
 
 
 class BodyFilter:
-    """Read the body, up to the limit."""
+    """Read the body, up to a size and within a time."""
 
-    def __init__(self, limit: int):
+    def __init__(self, limit: int, seconds: float):
         self._limit = limit
+        self._seconds = seconds
 
     async def __call__(self, call: Call) -> None:
-        """Raise BODY_TOO_LARGE past the limit."""
-        call.body = await call.request.body()
-        if len(call.body) > self._limit:
+        """Raise BODY_TOO_LARGE past the size, CALL_TOO_SLOW past the time."""
+        declared = call.request.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > self._limit:
+            raise self._too_large()
+        try:
+            async with asyncio.timeout(self._seconds):
+                call.body = await self._read(call.request)
+        except TimeoutError:
             raise PersimmonyardError(
-                ResultCode.BODY_TOO_LARGE,
-                f"the body has more than {self._limit} bytes",
-            )
+                ResultCode.CALL_TOO_SLOW,
+                f"the body did not arrive within {self._seconds:g} s",
+            ) from None
+
+    async def _read(self, request: Request) -> bytes:
+        chunks = []
+        size = 0
+        async for chunk in request.stream():
+            size += len(chunk)
+            if size > self._limit:
+                raise self._too_large()
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def _too_large(self) -> PersimmonyardError:
+        return PersimmonyardError(
+            ResultCode.BODY_TOO_LARGE, f"the body has more than {self._limit} bytes"
+        )
 
 
 class FilterChain:
-    """All filters in their order."""
+    """All filters in their order, and the calls that are past them."""
 
-    def __init__(self, settings: Settings, state: LocalState):
+    def __init__(self, settings: Settings, state: LocalState, access: AccessTable):
+        limits = settings.limits
         self.stop = StopFilter()
-        self._filters: list[Filter] = [
-            self.stop,
-            LeaseFilter(state),
-            TokenFilter(settings, state),
-            BodyFilter(settings.limits.body_bytes),
+        self._calls_per_account = limits.calls_per_account
+        self._count_by_account: dict[str, int] = {}
+        lease = LeaseFilter(state)
+        token = TokenFilter(access)
+        self._head: list[Filter] = [self.stop, lease, token]
+        # A slow body may outlive the lease, and the token with it.
+        self._rest: list[Filter] = [
+            BodyFilter(limits.body_bytes, limits.body_s),
+            lease,
+            token,
         ]
 
-    async def run(self, request: Request, role: Role) -> Call:
-        """Return the call after all filters let it pass."""
-        call = Call(request, role)
-        for one in self._filters:
+    @contextlib.asynccontextmanager
+    async def pass_call(
+        self, request: Request, role: Role, needs_lease: bool = True
+    ) -> AsyncIterator[Call]:
+        """Yield the call after all filters let it pass."""
+        call = Call(request, role, needs_lease)
+        for one in self._head:
             await one(call)
-        return call
+        account = f"{role}/{call.client_account}"
+        self._enter(account)
+        try:
+            for one in self._rest:
+                await one(call)
+            yield call
+        finally:
+            self._leave(account)
+
+    def _enter(self, account: str) -> None:
+        count = self._count_by_account.get(account, 0)
+        if count >= self._calls_per_account:
+            raise PersimmonyardError(
+                ResultCode.QUEUE_FULL,
+                f"this entry has {count} calls of the account in progress",
+            )
+        self._count_by_account[account] = count + 1
+
+    def _leave(self, account: str) -> None:
+        self._count_by_account[account] -= 1
+        if not self._count_by_account[account]:
+            del self._count_by_account[account]
--- a/packages/daemon/src/persimmonyard/daemon/entry/leader.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/leader.py
@@ -1,38 +1,45 @@
-"""The entry's connection to the control leader."""
+"""The entry's calls on the control leader."""
 
 import asyncio
-import random
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import Any
 
 import grpc
 
-from persimmonyard.daemon.logs import get_logger
-from persimmonyard.daemon.timing import BEAT_S
+from persimmonyard.daemon.entry.command_queue import CommandQueue, QueuedCommand
+from persimmonyard.daemon.entry.failure_gate import FailureGate
+from persimmonyard.daemon.entry.replicas import Replicas, never_sent
+from persimmonyard.daemon.entry.session_stream import SessionStream
 from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.state.commands import CommandResult, command_registry
-from persimmonyard.wire import (
-    EntryBeat,
-    LeaderBeat,
-    NotLeader,
-    session_registry,
-)
-from persimmonyard.wire.generated import control_pb2, control_pb2_grpc
+from persimmonyard.wire import EntryBeat, LeaderBeat
+from persimmonyard.wire.generated import control_pb2
 
 __all__ = ["LeaderClient"]
 
-MAX_CALLS_IN_FLIGHT = 64
+# grpcio answers about 3,000 unary calls a second, so commands share calls.
+MAX_CALLS_IN_FLIGHT = 8
+MAX_COMMANDS_IN_CALL = 128
+# grpcio refuses messages of more than 4 MB.
+MAX_BYTES_IN_CALL = 2 << 20
 CALL_TIMEOUT_S = 5.0
-RETRY_DELAY_S = 0.1
-MAX_RETRY_DELAY_S = 1.0
-SESSION_SILENCE_S = 2.0
+MAX_QUERIES_IN_FLIGHT = 32
+MAX_QUERIES_WAITING = 2_048
+QUEUED_COMMANDS = 4_096
+
+# Refusals that depend on the state at the time of the command.
+_PASSING_REFUSALS = (
+    ResultCode.QUEUE_FULL,
+    ResultCode.UNKNOWN_ACCOUNT,
+    ResultCode.UNKNOWN_CLASS,
+)
 
 
 class LeaderClient:
     """Find the leader, call it, and keep a session with it.
 
-    Commands may be sent again after an unknown outcome, because each is
+    Commands are sent again after an unknown outcome, because each is
     idempotent by its identity or its content.
     """
 
@@ -40,143 +47,206 @@
         self,
         addresses: dict[str, str],
         make_beat: Callable[[int], EntryBeat],
-        on_beat: Callable[[LeaderBeat, float], None],
+        on_beat: Callable[[LeaderBeat, float], bool],
+        queued_commands: int = QUEUED_COMMANDS,
     ):
-        self._address_by_name = addresses
-        self._names = list(addresses)
-        self._leader = random.choice(self._names)
-        self._make_beat = make_beat
-        self._on_beat = on_beat
-        self._stub_by_name: dict[str, Any] = {}
-        self._channels: list[Any] = []
-        self._slots = asyncio.Semaphore(MAX_CALLS_IN_FLIGHT)
-        self._beat_now = asyncio.Event()
-        self._logger = get_logger("leader")
+        self._replicas = Replicas(addresses)
+        self._gate = FailureGate()
+        self._stream = SessionStream(self._replicas, self._gate, make_beat, on_beat)
+        self._queue = CommandQueue(queued_commands)
+        self._calls: set[asyncio.Task] = set()
+        self._pump_due = False
+        self._query_slots = asyncio.Semaphore(MAX_QUERIES_IN_FLIGHT)
+        self._queries = 0
+
+    async def run(self) -> None:
+        """Keep a session with whichever replica leads."""
+        await self._stream.run()
 
     async def close(self) -> None:
-        """Close all channels."""
-        for channel in self._channels:
-            await channel.close()
+        """End all calls and close all channels."""
+        for call in list(self._calls):
+            call.cancel()
+        await self._replicas.close()
 
     def beat_soon(self) -> None:
         """Send the next beat without waiting for its time."""
-        self._beat_now.set()
+        self._stream.beat_soon()
 
-    # Calls.
+    def queue_length(self) -> int:
+        """Return the number of commands that wait for a call."""
+        return len(self._queue)
+
+    # Commands.
 
     async def execute(
-        self, command: Any, identity: str = "", wait_s: float = 10.0
+        self,
+        command: Any,
+        identity: str = "",
+        wait_s: float = 10.0,
+        account: str = "",
     ) -> CommandResult:
         """Return the result of a command.
 
-        Raises NO_LEADER if no replica accepted it, and TIMEOUT if its
-        outcome is unknown.
+        Raises OVERLOADED or NO_LEADER if it was certainly not executed, and
+        TIMEOUT if its outcome is unknown.
         """
-        one = control_pb2.IdentifiedCommand(
-            identity=identity, command=command_registry.encode(command)
+        encoded = command_registry.encode(command)
+        message = control_pb2.IdentifiedCommand(identity=identity, command=encoded)
+        future: asyncio.Future[CommandResult] = (
+            asyncio.get_running_loop().create_future()
         )
-        request = control_pb2.ExecuteRequest(commands=[one])
-        reply = await self._call("Execute", request, wait_s)
-        result: CommandResult = command_registry.decode(reply.results[0])
+        deadline = time.monotonic() + wait_s
+        item = QueuedCommand(account, message, len(encoded), deadline, future)
+        self._queue.put(item)
+        self._pump_soon()
+        try:
+            result = await asyncio.wait_for(future, wait_s)
+        except TimeoutError:
+            raise self._unanswered(item) from None
+        if item.uncertain and result.code in _PASSING_REFUSALS:
+            raise PersimmonyardError(
+                ResultCode.TIMEOUT,
+                "the outcome of an earlier send is unknown; "
+                f"the later one was refused: {result.message}",
+            )
         return result
 
-    async def query(self, kind: str, item_id: str = "", wait_s: float = 10.0) -> bytes:
-        """Return the body of a read; raise the error that it reports."""
-        request = control_pb2.QueryRequest(kind=kind, item_id=item_id)
-        reply = await self._call("Query", request, wait_s)
-        if reply.code:
-            raise PersimmonyardError(ResultCode(reply.code), reply.message)
-        body: bytes = reply.body
-        return body
+    def _unanswered(self, item: QueuedCommand) -> PersimmonyardError:
+        if item.uncertain or item.in_call:
+            return PersimmonyardError(
+                ResultCode.TIMEOUT, "the control leader did not answer in time"
+            )
+        if item.tried or not self._gate.healthy():
+            return PersimmonyardError(
+                ResultCode.NO_LEADER, "no control leader was found in time"
+            )
+        return PersimmonyardError(
+            ResultCode.OVERLOADED, "the control leader has too much to do"
+        )
 
-    async def _call(self, method: str, request: Any, wait_s: float) -> Any:
-        deadline = time.monotonic() + wait_s
-        delay = RETRY_DELAY_S
-        outcome_known = True
-        while True:
-            left = deadline - time.monotonic()
-            if left <= 0:
-                code = ResultCode.NO_LEADER if outcome_known else ResultCode.TIMEOUT
-                raise PersimmonyardError(code, "no control leader answered in time")
-            try:
-                reply = await self._call_once(method, request, left)
-            except grpc.aio.AioRpcError as error:
-                if error.code() != grpc.StatusCode.UNAVAILABLE:
-                    outcome_known = False
-                self._try_next()
-            else:
-                if reply.code != ResultCode.NOT_LEADER:
-                    return reply
-                self._follow(reply.leader_hint)
-            await asyncio.sleep(min(left, delay * random.uniform(0.5, 1.0)))
-            delay = min(MAX_RETRY_DELAY_S, delay * 2)
+    def _pump_soon(self) -> None:
+        """Start calls once the current callbacks are done.
 
-    async def _call_once(self, method: str, request: Any, left: float) -> Any:
-        async with self._slots:
-            call = getattr(self._stub(self._leader), method)
-            return await call(request, timeout=min(left, CALL_TIMEOUT_S))
+        Commands that arrive in the same turn of the event loop share a call.
+        """
+        if not self._pump_due:
+            self._pump_due = True
+            asyncio.get_running_loop().call_soon(self._pump)
 
-    # Session.
+    def _pump(self) -> None:
+        self._pump_due = False
+        if len(self._calls) >= MAX_CALLS_IN_FLIGHT or not len(self._queue):
+            return
+        call = asyncio.create_task(self._send_batch())
+        self._calls.add(call)
+        call.add_done_callback(self._call_done)
 
-    async def run(self) -> None:
-        """Keep a session with whichever replica leads."""
-        while True:
-            leader = self._leader
-            try:
-                await self._session(leader)
-            except (grpc.aio.AioRpcError, TimeoutError, StopAsyncIteration) as error:
-                self._logger.info(
-                    "session ended", leader=leader, error=type(error).__name__
-                )
-            if leader == self._leader:
-                self._try_next()
-            await asyncio.sleep(random.uniform(0.05, 0.2))
-
-    async def _session(self, leader: str) -> None:
-        sent_at_by_sequence: dict[int, float] = {}
-        call = self._stub(leader).Session(self._beats(sent_at_by_sequence))
+    def _call_done(self, call: asyncio.Task) -> None:
+        self._calls.discard(call)
+        if call.cancelled():
+            return
+        call.result()
+        if len(self._queue):
+            self._pump_soon()
+
+    async def _send_batch(self) -> None:
+        async with self._gate.turn():
+            now = time.monotonic()
+            batch = self._queue.take(MAX_COMMANDS_IN_CALL, MAX_BYTES_IN_CALL, now)
+            if not batch:
+                return
+            if len(self._queue):
+                self._pump_soon()
+            await self._call(batch)
+
+    async def _call(self, batch: list[QueuedCommand]) -> None:
+        request = control_pb2.ExecuteRequest(commands=[one.message for one in batch])
+        left = max(one.deadline for one in batch) - time.monotonic()
+        leader = self._replicas.leader
         try:
-            while True:
-                envelope = await asyncio.wait_for(call.read(), SESSION_SILENCE_S)
-                if envelope is grpc.aio.EOF:
-                    return
-                message = session_registry.decode(envelope.body)
-                if isinstance(message, NotLeader):
-                    self._follow(message.leader_hint)
-                    return
-                sent_at = sent_at_by_sequence.pop(message.sequence, 0.0)
-                self._on_beat(message, sent_at)
-        finally:
-            call.cancel()
+            reply = await self._replicas.stub(leader).Execute(
+                request, timeout=min(left, CALL_TIMEOUT_S)
+            )
+        except grpc.aio.AioRpcError as error:
+            self._call_failed(batch, leader, uncertain=not never_sent(error))
+            return
+        if reply.code:
+            self._call_failed(batch, leader, False, reply.leader_hint)
+            return
+        self._gate.succeeded()
+        self._take_results(batch, leader, reply.results)
 
-    async def _beats(self, sent_at_by_sequence: dict[int, float]) -> AsyncIterator[Any]:
-        sequence = 0
-        while True:
-            sequence += 1
-            self._beat_now.clear()
-            beat = self._make_beat(sequence)
-            sent_at_by_sequence[sequence] = time.monotonic()
-            yield control_pb2.Envelope(body=session_registry.encode(beat))
-            try:
-                await asyncio.wait_for(self._beat_now.wait(), BEAT_S)
-            except TimeoutError:
+    def _call_failed(
+        self,
+        batch: list[QueuedCommand],
+        leader: str,
+        uncertain: bool,
+        hint: str = "",
+    ) -> None:
+        for item in batch:
+            item.uncertain |= uncertain
+        self._gate.failed()
+        self._replicas.moved(leader, hint)
+        self._queue.put_back(batch)
+
+    def _take_results(
+        self, batch: list[QueuedCommand], leader: str, results: Any
+    ) -> None:
+        again = []
+        for item, encoded in zip(batch, results, strict=True):
+            result: CommandResult = command_registry.decode(encoded)
+            if result.code in (ResultCode.NOT_LEADER, ResultCode.TIMEOUT):
+                item.uncertain |= result.code == ResultCode.TIMEOUT
+                again.append(item)
                 continue
+            item.in_call = False
+            if not item.future.done():
+                item.future.set_result(result)
+        if again:
+            self._call_failed(again, leader, uncertain=False)
 
-    # Finding the leader.
+    # Reads.
 
-    def _follow(self, hint: str) -> None:
-        if hint in self._address_by_name and hint != self._leader:
-            self._leader = hint
-            return
-        self._try_next()
-
-    def _try_next(self) -> None:
-        position = self._names.index(self._leader)
-        self._leader = self._names[(position + 1) % len(self._names)]
-
-    def _stub(self, name: str) -> Any:
-        if name not in self._stub_by_name:
-            channel = grpc.aio.insecure_channel(self._address_by_name[name])
-            self._channels.append(channel)
-            self._stub_by_name[name] = control_pb2_grpc.ControlStub(channel)
-        return self._stub_by_name[name]
+    async def query(self, kind: str, item_id: str = "", wait_s: float = 10.0) -> bytes:
+        """Return the body of a read; raise the error that it reports.
+
+        Raises OVERLOADED if too many reads wait, and NO_LEADER if no leader
+        answered within ``wait_s`` seconds.
+        """
+        if self._queries >= MAX_QUERIES_WAITING:
+            raise PersimmonyardError(ResultCode.OVERLOADED, "too many reads wait")
+        request = control_pb2.QueryRequest(kind=kind, item_id=item_id)
+        self._queries += 1
+        try:
+            async with asyncio.timeout(wait_s), self._query_slots:
+                reply = await self._ask(request)
+        except TimeoutError:
+            raise PersimmonyardError(
+                ResultCode.NO_LEADER, "no control leader answered in time"
+            ) from None
+        finally:
+            self._queries -= 1
+        if reply.code:
+            raise PersimmonyardError(ResultCode(reply.code), reply.message)
+        body: bytes = reply.body
+        return body
+
+    async def _ask(self, request: Any) -> Any:
+        while True:
+            async with self._gate.turn():
+                leader = self._replicas.leader
+                hint = ""
+                try:
+                    reply = await self._replicas.stub(leader).Query(
+                        request, timeout=CALL_TIMEOUT_S
+                    )
+                except grpc.aio.AioRpcError:
+                    reply = None
+                if reply is not None and reply.code != ResultCode.NOT_LEADER:
+                    self._gate.succeeded()
+                    return reply
+                if reply is not None:
+                    hint = reply.leader_hint
+                self._gate.failed()
+                self._replicas.moved(leader, hint)
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/operator_api.py
@@ -0,0 +1,108 @@
+"""What operators do: configuration, status, dump."""
+
+import asyncio
+import math
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from litestar import Request
+
+from persimmonyard.daemon.entry.configuration_body import (
+    ConfigurationBody,
+    check_changes,
+)
+from persimmonyard.daemon.entry.filters import FilterChain
+from persimmonyard.daemon.entry.leader import LeaderClient
+from persimmonyard.daemon.entry.parsing import parse, require, require_range
+from persimmonyard.daemon.entry.results import checked
+from persimmonyard.daemon.entry.submission import MAX_ASKED_WAIT_S
+from persimmonyard.daemon.settings import LimitSettings
+from persimmonyard.model import PersimmonyardError, Role
+from persimmonyard.state.commands import ApplyConfiguration
+
+__all__ = ["OperatorApi"]
+
+MAX_IDENTITY_LENGTH = 128
+# A wait is made of short reads, so that it goes on after a failover.
+IN_FORCE_READ_S = 1.0
+IN_FORCE_PAUSE_S = 0.05
+
+
+class OperatorApi:
+    """Handlers for operators; each works on calls that passed the chain."""
+
+    def __init__(
+        self,
+        limits: LimitSettings,
+        leader: LeaderClient,
+        chain: FilterChain,
+        dump: Callable[[], dict[str, Any]],
+    ):
+        self._limits = limits
+        self._leader = leader
+        self._chain = chain
+        self._dump = dump
+
+    async def configuration(self, request: Request) -> Any:
+        """Return the whole configuration."""
+        return await self._read(request, "configuration")
+
+    async def status(self, request: Request) -> Any:
+        """Return counts and upstreams."""
+        return await self._read(request, "status")
+
+    async def dump(self, request: Request) -> dict[str, Any]:
+        """Return the state of this process."""
+        async with self._chain.pass_call(request, Role.OPERATOR, needs_lease=False):
+            return self._dump()
+
+    async def apply(self, request: Request) -> dict[str, Any]:
+        """Apply changes, and wait until they are in force if asked to."""
+        async with self._chain.pass_call(request, Role.OPERATOR) as call:
+            identity = _identity(request)
+            body = parse(call.body, ConfigurationBody)
+            require_range("wait_s", body.wait_s, 0, MAX_ASKED_WAIT_S)
+            if body.expected_version is not None:
+                require_range("expected_version", body.expected_version, 0, math.inf)
+            changes = check_changes(body.changes)
+            command = ApplyConfiguration(changes, body.expected_version)
+            result = checked(await self._leader.execute(command, f"apply/{identity}"))
+            in_force = await self._wait_in_force(result.version, body.wait_s)
+            return {"version": result.version, "in_force": in_force}
+
+    async def _read(self, request: Request, kind: str) -> Any:
+        async with self._chain.pass_call(request, Role.OPERATOR):
+            return msgspec.json.decode(await self._leader.query(kind))
+
+    async def _wait_in_force(self, version: int, wait_s: float) -> bool:
+        """Return whether a version is in force within the time.
+
+        The change is committed by now, so a failed read is not an error.
+        """
+        deadline = time.monotonic() + min(wait_s, self._limits.wait_s)
+        while wait_s > 0:
+            left = deadline - time.monotonic()
+            if left <= 0:
+                return False
+            item = f"{version}/{min(left, IN_FORCE_READ_S)}"
+            try:
+                reply = await self._leader.query("in_force", item, left + 1.0)
+            except PersimmonyardError:
+                return False
+            if msgspec.json.decode(reply):
+                return True
+            await asyncio.sleep(IN_FORCE_PAUSE_S)
+        return False
+
+
+def _identity(request: Request) -> str:
+    identity = request.headers.get("idempotency-key")
+    if identity is None:
+        return uuid.uuid4().hex
+    fits = 1 <= len(identity) <= MAX_IDENTITY_LENGTH and identity.isprintable()
+    accepted = f"1 to {MAX_IDENTITY_LENGTH} printable characters"
+    require(fits, "Idempotency-Key", accepted)
+    return identity
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/parsing.py
@@ -0,0 +1,113 @@
+"""JSON bodies and query parameters, with errors that name the field."""
+
+import json
+import math
+import re
+from typing import Any, TypeVar
+
+import msgspec
+
+from persimmonyard.model import PersimmonyardError, ResultCode
+
+__all__ = ["parse", "require", "require_range", "wait_s_of"]
+
+T = TypeVar("T")
+
+_FIELD_IN_PATH = re.compile(r"at `\$\.?([^`]*)`")
+_FIELD_IN_TEXT = re.compile(r"field `([^`]*)`")
+
+
+def parse(data: bytes, expected: type[T]) -> T:
+    """Return ``data`` as ``expected``; errors name the field at fault."""
+    try:
+        return msgspec.json.decode(data, type=expected)
+    except msgspec.ValidationError as error:
+        raise _field_error(str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise _syntax_error(data, error) from error
+    except RecursionError as error:
+        raise PersimmonyardError(
+            ResultCode.BAD_JSON, "the body is nested too deeply"
+        ) from error
+
+
+def require(condition: bool, field: str, accepted: str) -> None:
+    """Raise BAD_FIELD that says what ``field`` accepts."""
+    if not condition:
+        raise PersimmonyardError(
+            ResultCode.BAD_FIELD, f"{field!r} must be {accepted}", field
+        )
+
+
+def require_range(field: str, value: float, smallest: float, largest: float) -> None:
+    """Raise BAD_FIELD unless a finite value lies in the range."""
+    fits = math.isfinite(value) and smallest <= value <= largest
+    require(fits, field, f"between {smallest:g} and {largest:g}")
+
+
+def wait_s_of(parameters: Any, largest: float) -> float:
+    """Return the query parameter ``wait_s`` in seconds; absent means 0.
+
+    Any other parameter is an error, because a misspelt one would silently
+    return at once.
+    """
+    for name in parameters:
+        if name != "wait_s":
+            raise PersimmonyardError(
+                ResultCode.UNKNOWN_FIELD, f"unknown query parameter {name!r}", name
+            )
+    text = parameters.get("wait_s", "0")
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    require_range("wait_s", value, 0, largest)
+    return value
+
+
+def _field_error(text: str) -> PersimmonyardError:
+    code = ResultCode.BAD_FIELD
+    if "unknown field" in text:
+        code = ResultCode.UNKNOWN_FIELD
+    if "missing required field" in text:
+        code = ResultCode.MISSING_FIELD
+    parts = []
+    for pattern in (_FIELD_IN_PATH, _FIELD_IN_TEXT):
+        found = pattern.search(text)
+        if found and found.group(1):
+            parts.append(found.group(1))
+    field = ".".join(parts) or None
+    return PersimmonyardError(code, f"the body is not accepted: {text}", field)
+
+
+def _syntax_error(data: bytes, error: Exception) -> PersimmonyardError:
+    """Return the error for a body that is not JSON.
+
+    ``NaN`` and ``Infinity`` are not JSON, but many encoders write them; the
+    error then names the field that holds one.
+    """
+    try:
+        lenient = json.loads(data)
+    except (ValueError, RecursionError):
+        return PersimmonyardError(ResultCode.BAD_JSON, f"the body is not JSON: {error}")
+    field = _non_finite_field(lenient, "")
+    if field is None:
+        return PersimmonyardError(ResultCode.BAD_JSON, f"the body is not JSON: {error}")
+    return PersimmonyardError(
+        ResultCode.BAD_FIELD, f"{field!r} must be a finite number", field
+    )
+
+
+def _non_finite_field(value: Any, path: str) -> str | None:
+    if isinstance(value, float) and not math.isfinite(value):
+        return path or None
+    items: Any = ()
+    if isinstance(value, dict):
+        items = value.items()
+    if isinstance(value, list):
+        items = enumerate(value)
+    for key, inner in items:
+        found = _non_finite_field(inner, f"{path}.{key}" if path else str(key))
+        if found is not None:
+            return found
+    return None
--- a/packages/daemon/src/persimmonyard/daemon/entry/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/process.py
@@ -2,21 +2,29 @@
 
 import asyncio
 import secrets
+import time
 from typing import Any
 
-from persimmonyard.daemon.entry.api import EntryApi
+from persimmonyard.daemon.entry.access import AccessTable
+from persimmonyard.daemon.entry.announcements import Announcements
+from persimmonyard.daemon.entry.app import EntryApp
 from persimmonyard.daemon.entry.dispatch import Dispatcher
 from persimmonyard.daemon.entry.filters import FilterChain
 from persimmonyard.daemon.entry.leader import LeaderClient
 from persimmonyard.daemon.entry.local_state import LocalState
+from persimmonyard.daemon.entry.operator_api import OperatorApi
+from persimmonyard.daemon.entry.requests_api import RequestApi
 from persimmonyard.daemon.entry.upstream_calls import UpstreamCalls
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.logs import get_logger
+from persimmonyard.daemon.metrics import EntryMetrics
 from persimmonyard.daemon.settings import Settings
 from persimmonyard.wire import EntryBeat, LeaderBeat
 
 __all__ = ["EntryProcess"]
 
+HANDOVER_CHECK_S = 0.05
+
 
 class EntryProcess:
     """Run the entry role."""
@@ -25,61 +33,122 @@
         self._settings = settings
         self._logger = get_logger("entry")
         self._entry_id = f"{settings.process.name}/{secrets.token_hex(4)}"
+        self._sessions = 0
+        self._stopping = False
         self._state = LocalState()
         self._leader = LeaderClient(
-            settings.control.replicas, self._make_beat, self._take_beat
+            settings.control.replicas,
+            self._make_beat,
+            self._take_beat,
+            settings.limits.queued_commands,
         )
         self._calls = UpstreamCalls()
         self._dispatcher = Dispatcher(self._state, self._leader, self._calls)
-        self._chain = FilterChain(settings, self._state)
-        self._api = EntryApi(settings, self._state, self._leader, self._chain)
+        access = AccessTable(settings.access, self._state)
+        self._chain = FilterChain(settings, self._state, access)
+        self._announcements = Announcements(self._state, self._leader, self._chain)
+        self._app = self._build_app()
+
+    def _build_app(self) -> EntryApp:
+        limits = self._settings.limits
+        requests = RequestApi(limits, self._state, self._leader, self._chain)
+        operators = OperatorApi(limits, self._leader, self._chain, self._dump)
+        metrics = EntryMetrics()
+        self._add_gauges(metrics)
+        return EntryApp(
+            self._state, self._chain, metrics, requests, operators, self._announcements
+        )
+
+    def _add_gauges(self, metrics: EntryMetrics) -> None:
+        state = self._state
+        metrics.add_gauge("attempts", "Attempts in hand.", self._dispatcher.count)
+        metrics.add_gauge(
+            "lease_valid", "1 under a configuration lease.", state.lease_valid
+        )
+        metrics.add_gauge(
+            "configuration_version",
+            "Version of the local configuration.",
+            lambda: state.configuration.version,
+        )
+        metrics.add_gauge("sessions", "Sessions begun.", lambda: self._sessions)
+        metrics.add_gauge("waiting", "Calls that wait.", state.waiters.count)
+        metrics.add_gauge(
+            "queued_commands",
+            "Commands that wait for the control leader.",
+            self._leader.queue_length,
+        )
+        metrics.add_gauge(
+            "connections", "Open connections.", lambda: self._http.connection_count()
+        )
 
     async def start(self) -> None:
         """Start the session and the HTTP server."""
         settings = self._settings
         self._session = asyncio.create_task(self._leader.run())
         self._http = HttpServer(
-            self._api.build_app(self._dump),
+            self._app.build(),
             settings.http.host,
             settings.http.port,
             settings.shutdown.drain_s,
+            settings.limits.connections,
+            settings.http.headers_s,
         )
         await self._http.start()
         self._logger.info("listening", http_port=self._http.port)
 
     async def stop(self) -> None:
         """Finish the calls in progress and hand attempts over."""
-        self._chain.stop.stopping = True
+        settings = self._settings.shutdown
+        deadline = time.monotonic() + settings.notice_s + settings.drain_s
+        self._app.stopping = True
+        self._stopping = True
         self._leader.beat_soon()
-        await self._http.stop()
+        await asyncio.sleep(settings.notice_s)
+        self._http.stop_listening()
+        self._state.waiters.stop()
+        self._chain.stop.refusing = True
+        await asyncio.gather(self._http.stop(), self._hand_over(deadline))
         self._session.cancel()
         await self._dispatcher.close()
         await self._calls.close()
         await self._leader.close()
 
+    async def _hand_over(self, deadline: float) -> None:
+        """Wait until other entries have all attempts of this one."""
+        # The runs end one by one as their fences become stale.
+        while self._dispatcher.count() and time.monotonic() < deadline:  # noqa: ASYNC110
+            await asyncio.sleep(HANDOVER_CHECK_S)
+        self._logger.info("attempts handed over", left=self._dispatcher.count())
+
     def _make_beat(self, sequence: int) -> EntryBeat:
-        return EntryBeat(
-            entry_id=self._entry_id,
-            zone=self._settings.process.zone,
-            sequence=sequence,
-            configuration_version=self._state.configuration.version,
-            heartbeats=self._state.take_heartbeats(),
-            watch=self._state.watched_ids(),
-            stopping=self._chain.stop.stopping,
-        )
+        if sequence == 1:
+            self._sessions += 1
+            self._announcements.forget()
+        zone = self._settings.process.zone
+        return self._state.make_beat(self._entry_id, zone, sequence, self._stopping)
 
-    def _take_beat(self, beat: LeaderBeat, sent_at: float) -> None:
+    def _take_beat(self, beat: LeaderBeat, sent_at: float) -> bool:
         before = self._state.configuration.version
-        self._state.take_beat(beat, sent_at)
+        if not self._state.take_beat(beat, sent_at):
+            return False
         if self._state.configuration.version != before:
             self._leader.beat_soon()
         for order in beat.orders:
             self._dispatcher.take_order(order)
+        return True
 
     def _dump(self) -> dict[str, Any]:
+        state = self._state
         return {
             "process": self._entry_id,
-            "configuration_version": self._state.configuration.version,
-            "lease_valid": self._state.lease_valid(),
+            "zone": self._settings.process.zone,
+            "stopping": self._stopping,
+            "configuration_version": state.configuration.version,
+            "lease_valid": state.lease_valid(),
+            "lease_left_s": round(max(0.0, state.lease_until - time.monotonic()), 3),
+            "sessions": self._sessions,
             "attempts": self._dispatcher.count(),
+            "waiting": state.waiters.count(),
+            "queued_commands": self._leader.queue_length(),
+            "connections": self._http.connection_count(),
         }
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/replicas.py
@@ -0,0 +1,64 @@
+"""The control processes, and which of them leads as far as is known."""
+
+import random
+from typing import Any
+
+import grpc
+
+from persimmonyard.wire.generated import control_pb2_grpc
+
+__all__ = ["Replicas", "never_sent"]
+
+# A push with the outcomes of many requests may be larger than the default
+# limit of 4 MB.
+CHANNEL_OPTIONS = [("grpc.max_receive_message_length", 64 << 20)]
+
+# grpcio reports a refused connection and one that broke in the middle of a
+# call with the same status; only this text tells them apart.
+_NOT_CONNECTED = "failed to connect to all addresses"
+
+
+class Replicas:
+    """Channels to the control processes by name, and the probable leader."""
+
+    def __init__(self, address_by_name: dict[str, str]):
+        self._address_by_name = address_by_name
+        self._names = list(address_by_name)
+        self.leader = random.choice(self._names)
+        self._stub_by_name: dict[str, Any] = {}
+        self._channels: list[Any] = []
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels:
+            await channel.close()
+
+    def stub(self, name: str) -> Any:
+        """Return the stub of one control process."""
+        if name not in self._stub_by_name:
+            channel = grpc.aio.insecure_channel(
+                self._address_by_name[name], options=CHANNEL_OPTIONS
+            )
+            self._channels.append(channel)
+            self._stub_by_name[name] = control_pb2_grpc.ControlStub(channel)
+        return self._stub_by_name[name]
+
+    def moved(self, asked: str, hint: str = "") -> None:
+        """Follow the hint of the process that was asked, or try the next.
+
+        Nothing changes if another call has already found another leader.
+        """
+        if asked != self.leader:
+            return
+        if hint in self._address_by_name and hint != asked:
+            self.leader = hint
+            return
+        position = self._names.index(asked)
+        self.leader = self._names[(position + 1) % len(self._names)]
+
+
+def never_sent(error: grpc.aio.AioRpcError) -> bool:
+    """Return whether a failed call certainly did not reach the process."""
+    if error.code() != grpc.StatusCode.UNAVAILABLE:
+        return False
+    return (error.details() or "").startswith(_NOT_CONNECTED)
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/requests_api.py
@@ -0,0 +1,179 @@
+"""What callers do with requests: submit, fetch, cancel, acknowledge."""
+
+import base64
+import uuid
+from typing import Any
+
+import msgspec
+from litestar import Request
+
+from persimmonyard.daemon.entry.connected import while_connected
+from persimmonyard.daemon.entry.filters import FilterChain
+from persimmonyard.daemon.entry.leader import LeaderClient
+from persimmonyard.daemon.entry.local_state import LocalState
+from persimmonyard.daemon.entry.parsing import parse, wait_s_of
+from persimmonyard.daemon.entry.results import checked
+from persimmonyard.daemon.entry.submission import (
+    MAX_ASKED_WAIT_S,
+    SubmissionBody,
+    check_submission,
+    payload_bytes,
+    shape_of,
+    submission_digest,
+)
+from persimmonyard.daemon.errors import error_body
+from persimmonyard.daemon.settings import LimitSettings
+from persimmonyard.model import PersimmonyardError, ResultCode, Role
+from persimmonyard.state.commands import (
+    AcknowledgeAnswer,
+    CancelRequest,
+    SubmitRequest,
+)
+from persimmonyard.wire import Outcome, session_registry
+
+__all__ = ["RequestApi"]
+
+
+class RequestApi:
+    """Handlers for callers; each works on calls that passed the chain."""
+
+    def __init__(
+        self,
+        limits: LimitSettings,
+        state: LocalState,
+        leader: LeaderClient,
+        chain: FilterChain,
+    ):
+        self._limits = limits
+        self._state = state
+        self._leader = leader
+        self._chain = chain
+
+    async def submit(self, request: Request) -> dict[str, Any]:
+        """Record a request and wait for its answer if asked to."""
+        async with self._chain.pass_call(request, Role.CLIENT) as call:
+            body = parse(call.body, SubmissionBody)
+            if body.work_class in self._state.configuration.class_by_name:
+                request.state.work_class = body.work_class
+            check_submission(body)
+            command = SubmitRequest(
+                request_id=f"r-{uuid.uuid4().hex}",
+                client_account=call.client_account,
+                class_name=body.work_class,
+                key=body.key,
+                digest=submission_digest(body),
+                shape=shape_of(body.shape),
+                declared_run_s=body.declared_run_s,
+                idempotent=body.idempotent,
+                checkpointable=body.checkpointable,
+                payload=payload_bytes(body),
+            )
+            return await while_connected(request, self._submit(command, body.wait_s))
+
+    async def _submit(self, command: SubmitRequest, wait_s: float) -> dict[str, Any]:
+        account = command.client_account
+        result = checked(await self._leader.execute(command, account=account))
+        outcome = await self._wait(result.request_id, wait_s)
+        if outcome is not None:
+            return _view(outcome)
+        if wait_s == 0 or self._state.waiters.stopping:
+            return _accepted(result.request_id)
+        try:
+            return _view(await self._owned_outcome(account, result.request_id))
+        except PersimmonyardError:
+            # The request is recorded, so the caller gets its identifier even
+            # if the leader cannot be asked for the state.
+            return _accepted(result.request_id)
+
+    async def fetch(self, request: Request, request_id: str) -> dict[str, Any]:
+        """Return a request, after waiting for its end if asked to."""
+        async with self._chain.pass_call(request, Role.CLIENT) as call:
+            wait_s = wait_s_of(request.query_params, MAX_ASKED_WAIT_S)
+            return await while_connected(
+                request, self._fetch(call.client_account, request_id, wait_s)
+            )
+
+    async def _fetch(
+        self, client_account: str, request_id: str, wait_s: float
+    ) -> dict[str, Any]:
+        # The owner is checked before the wait, so that a request of another
+        # account looks like one that does not exist.
+        outcome = await self._owned_outcome(client_account, request_id)
+        if outcome.ended or wait_s == 0:
+            return _view(outcome)
+        ended = await self._wait(request_id, wait_s)
+        return _view(ended if ended is not None else outcome)
+
+    async def cancel(self, request: Request, request_id: str) -> dict[str, Any]:
+        """Cancel a request and return what became of it."""
+        async with self._chain.pass_call(request, Role.CLIENT) as call:
+            account = call.client_account
+            command = CancelRequest(request_id, account)
+            checked(await self._leader.execute(command, account=account))
+            return await self._fetch(account, request_id, self._limits.wait_s)
+
+    async def acknowledge(self, request: Request, request_id: str) -> dict[str, Any]:
+        """Drop a kept answer."""
+        async with self._chain.pass_call(request, Role.CLIENT) as call:
+            account = call.client_account
+            command = AcknowledgeAnswer(request_id, account)
+            checked(await self._leader.execute(command, account=account))
+            return {"request": request_id}
+
+    async def explain(self, request: Request, request_id: str) -> dict[str, Any]:
+        """Return why a request is where it is."""
+        async with self._chain.pass_call(request, Role.CLIENT) as call:
+            await self._owned_outcome(call.client_account, request_id)
+            body = await self._leader.query("explain", request_id)
+            explanation: dict[str, Any] = msgspec.json.decode(body)
+            return explanation
+
+    async def _wait(self, request_id: str, wait_s: float) -> Outcome | None:
+        """Wait for the end of a request, if there is room to wait."""
+        wait_s = min(wait_s, self._limits.wait_s)
+        waiters = self._state.waiters
+        if wait_s <= 0 or waiters.count() >= self._limits.waiting_requests:
+            return None
+        with waiters.add(request_id) as waiter:
+            self._leader.beat_soon()
+            return await waiter.outcome(wait_s)
+
+    async def _owned_outcome(self, client_account: str, request_id: str) -> Outcome:
+        not_found = PersimmonyardError(
+            ResultCode.NOT_FOUND, f"no request {request_id!r}", "request"
+        )
+        try:
+            body = await self._leader.query("request", request_id)
+        except PersimmonyardError as error:
+            if error.code == ResultCode.NOT_FOUND:
+                raise not_found from error
+            raise
+        outcome: Outcome = session_registry.decode(body)
+        if outcome.client_account != client_account:
+            raise not_found
+        return outcome
+
+
+def _accepted(request_id: str) -> dict[str, Any]:
+    return {"request": request_id, "state": "accepted", "ended": False, "answers": []}
+
+
+def _view(outcome: Outcome) -> dict[str, Any]:
+    answers = []
+    for answer in outcome.answers:
+        answers.append(
+            {
+                "body": base64.b64encode(answer.body).decode(),
+                "length": len(answer.body),
+                "digest": answer.digest,
+            }
+        )
+    view: dict[str, Any] = {
+        "request": outcome.request_id,
+        "state": outcome.state,
+        "ended": outcome.ended,
+        "answers": answers,
+    }
+    if outcome.code:
+        view |= error_body(outcome.code, outcome.message, None, outcome.not_run)
+    return view
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/results.py
@@ -0,0 +1,22 @@
+"""Errors for callers from the results of commands."""
+
+from persimmonyard.model import PersimmonyardError, ResultCode
+from persimmonyard.state.commands import CommandResult
+
+__all__ = ["checked"]
+
+_FIELD_BY_CODE = {
+    ResultCode.UNKNOWN_CLASS: "class",
+    ResultCode.KEY_REUSED: "key",
+    ResultCode.VERSION_CONFLICT: "expected_version",
+    ResultCode.GUARANTEE_DOES_NOT_FIT: "changes.client_account.guarantee",
+    ResultCode.NOT_FOUND: "request",
+}
+
+
+def checked(result: CommandResult) -> CommandResult:
+    """Return a result, or raise the error that it reports."""
+    if result.code == 0:
+        return result
+    code = ResultCode(result.code)
+    raise PersimmonyardError(code, result.message, _FIELD_BY_CODE.get(code))
--- a/packages/daemon/src/persimmonyard/daemon/entry/submission.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/submission.py
@@ -2,11 +2,11 @@
 
 import base64
 import hashlib
-import re
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 
+from persimmonyard.daemon.entry.parsing import require, require_range
 from persimmonyard.model import (
     MAX_GANG,
     Adjacency,
@@ -15,11 +15,24 @@
     Shape,
 )
 
-__all__ = ["ShapeBody", "SubmissionBody", "parse", "shape_of", "submission_digest"]
+__all__ = [
+    "MAX_PAYLOAD_BYTES",
+    "ShapeBody",
+    "SubmissionBody",
+    "check_submission",
+    "payload_bytes",
+    "shape_of",
+    "submission_digest",
+]
 
 MAX_PAYLOAD_BYTES = 65_536
-
-T = TypeVar("T")
+MAX_NAME_LENGTH = 128
+# Far above any instance, and small enough for sums in 64 bits.
+MAX_ACCELERATORS = 1_024
+MAX_CORES = 65_536
+MAX_MEMORY_MB = 1 << 30
+MAX_DECLARED_RUN_S = 366 * 86_400.0
+MAX_ASKED_WAIT_S = 86_400.0
 
 
 class ShapeBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -45,43 +58,12 @@
     wait_s: float = 0.0
 
 
-_FIELD_IN_PATH = re.compile(r"at `\$\.?([^`]*)`")
-_FIELD_IN_TEXT = re.compile(r"field `([^`]*)`")
-
-
-def parse(data: bytes, expected: type[T]) -> T:
-    """Return ``data`` as ``expected``; errors name the field at fault."""
-    try:
-        return msgspec.json.decode(data, type=expected)
-    except msgspec.ValidationError as error:
-        raise _field_error(str(error)) from error
-    except msgspec.DecodeError as error:
-        raise PersimmonyardError(
-            ResultCode.BAD_JSON, f"the body is not JSON: {error}"
-        ) from error
-
-
-def _field_error(text: str) -> PersimmonyardError:
-    code = ResultCode.BAD_FIELD
-    if "unknown field" in text:
-        code = ResultCode.UNKNOWN_FIELD
-    if "missing required field" in text:
-        code = ResultCode.MISSING_FIELD
-    parts = []
-    for pattern in (_FIELD_IN_PATH, _FIELD_IN_TEXT):
-        found = pattern.search(text)
-        if found and found.group(1):
-            parts.append(found.group(1))
-    field = ".".join(parts) or None
-    return PersimmonyardError(code, text, field)
-
-
 def shape_of(body: ShapeBody) -> Shape:
-    """Return the checked shape."""
-    _require(1 <= body.gang <= MAX_GANG, "shape.gang", f"1 to {MAX_GANG}")
-    _require(body.accelerators >= 0, "shape.accelerators", "0 or more")
-    _require(body.cores >= 1, "shape.cores", "1 or more")
-    _require(body.memory_mb >= 1, "shape.memory_mb", "1 or more")
+    """Return the checked shape of a body."""
+    require_range("shape.gang", body.gang, 1, MAX_GANG)
+    require_range("shape.accelerators", body.accelerators, 0, MAX_ACCELERATORS)
+    require_range("shape.cores", body.cores, 1, MAX_CORES)
+    require_range("shape.memory_mb", body.memory_mb, 1, MAX_MEMORY_MB)
     return Shape(
         body.gang, body.accelerators, body.cores, body.memory_mb, body.adjacency
     )
@@ -89,9 +71,15 @@
 
 def check_submission(body: SubmissionBody) -> None:
     """Raise the error for the first field with a bad value."""
-    _require(1 <= len(body.key) <= 128, "key", "1 to 128 characters")
-    _require(body.declared_run_s > 0, "declared_run_s", "more than 0 seconds")
-    _require(body.wait_s >= 0, "wait_s", "0 seconds or more")
+    _check_name("key", body.key)
+    _check_name("class", body.work_class)
+    run_s = body.declared_run_s
+    require(
+        0 < run_s <= MAX_DECLARED_RUN_S,
+        "declared_run_s",
+        f"more than 0 and at most {MAX_DECLARED_RUN_S:.0f} seconds",
+    )
+    require_range("wait_s", body.wait_s, 0, MAX_ASKED_WAIT_S)
     if len(payload_bytes(body)) > MAX_PAYLOAD_BYTES:
         raise PersimmonyardError(
             ResultCode.BODY_TOO_LARGE,
@@ -100,6 +88,12 @@
         )
 
 
+def _check_name(field: str, value: str) -> None:
+    accepted = f"1 to {MAX_NAME_LENGTH} printable characters"
+    fits = 1 <= len(value) <= MAX_NAME_LENGTH and value.isprintable()
+    require(fits, field, accepted)
+
+
 def payload_bytes(body: SubmissionBody) -> bytes:
     """Return the decoded payload."""
     try:
@@ -116,10 +110,3 @@
     content.pop("wait_s")
     encoded = msgspec.json.encode(content, order="deterministic")
     return hashlib.sha256(encoded).hexdigest()
-
-
-def _require(condition: bool, field: str, accepted: str) -> None:
-    if not condition:
-        raise PersimmonyardError(
-            ResultCode.BAD_FIELD, f"{field!r} must be {accepted}", field
-        )
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/entry/waiters.py
@@ -0,0 +1,97 @@
+"""Callers that wait for the outcome of a request."""
+
+import asyncio
+
+from persimmonyard.wire import Outcome
+
+__all__ = ["Waiter", "Waiters"]
+
+
+class Waiter:
+    """One caller's place; use it in a ``with`` statement."""
+
+    def __init__(self, waiters: "Waiters", request_id: str):
+        self.request_id = request_id
+        self.future: asyncio.Future[Outcome | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters = waiters
+
+    def __enter__(self) -> "Waiter":
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._waiters.remove(self)
+
+    async def outcome(self, wait_s: float) -> Outcome | None:
+        """Return the outcome, or ``None`` after ``wait_s`` seconds.
+
+        It also returns ``None`` as soon as the process begins to stop.
+        """
+        try:
+            return await asyncio.wait_for(self.future, wait_s)
+        except TimeoutError:
+            return None
+
+
+class Waiters:
+    """All waiting callers, and which requests the leader must be told.
+
+    The leader answers a new watch at once if the request has ended already,
+    so no outcome is missed between the command and the watch.
+    """
+
+    def __init__(self) -> None:
+        self.stopping = False
+        self._waiters_by_id: dict[str, set[Waiter]] = {}
+        self._new_ids: set[str] = set()
+        self._count = 0
+
+    def count(self) -> int:
+        """Return the number of waiting callers."""
+        return self._count
+
+    def add(self, request_id: str) -> Waiter:
+        """Register a caller for the outcome of a request."""
+        waiter = Waiter(self, request_id)
+        if self.stopping:
+            waiter.future.set_result(None)
+        if request_id not in self._waiters_by_id:
+            self._waiters_by_id[request_id] = set()
+            self._new_ids.add(request_id)
+        self._waiters_by_id[request_id].add(waiter)
+        self._count += 1
+        return waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Forget a caller."""
+        self._count -= 1
+        waiters = self._waiters_by_id.get(waiter.request_id, set())
+        waiters.discard(waiter)
+        if not waiters:
+            self._waiters_by_id.pop(waiter.request_id, None)
+            self._new_ids.discard(waiter.request_id)
+
+    def resolve(self, outcome: Outcome) -> None:
+        """Wake the callers that wait for a request."""
+        for waiter in self._waiters_by_id.pop(outcome.request_id, set()):
+            if not waiter.future.done():
+                waiter.future.set_result(outcome)
+
+    def stop(self) -> None:
+        """Let no caller wait any longer."""
+        self.stopping = True
+        for waiters in self._waiters_by_id.values():
+            for waiter in waiters:
+                if not waiter.future.done():
+                    waiter.future.set_result(None)
+
+    def take_new_ids(self) -> tuple[str, ...]:
+        """Return the requests that the leader was not told yet."""
+        taken = tuple(self._new_ids)
+        self._new_ids = set()
+        return taken
+
+    def watch_all_again(self) -> None:
+        """Tell the next leader everything."""
+        self._new_ids = set(self._waiters_by_id)
--- a/packages/daemon/src/persimmonyard/daemon/errors.py
+++ b/packages/daemon/src/persimmonyard/daemon/errors.py
@@ -5,9 +5,23 @@
 from litestar import Request, Response
 from litestar.exceptions import HTTPException
 
+from persimmonyard.daemon.logs import get_logger
 from persimmonyard.model import PersimmonyardError, ResultCode
 
-__all__ = ["ErrorBody", "error_body", "exception_handlers", "http_status"]
+__all__ = [
+    "RETRY_AFTER_S",
+    "ErrorBody",
+    "error_body",
+    "exception_handlers",
+    "http_status",
+]
+
+# Callers that were refused for lack of room or of a leader come back no
+# sooner: an election takes about 1 s.
+RETRY_AFTER_S = 1
+
+# Calls on these paths are about a request that is already recorded.
+_RECORDED_REQUEST_PATH = "/v1/requests/"
 
 
 class ErrorBody(TypedDict):
@@ -20,30 +34,41 @@
     not_run: bool
 
 
-# Codes after which a start may have been sent.
+# Codes after which a start may have been sent, or something recorded.
 _MAY_HAVE_RUN = frozenset(
     {
+        ResultCode.ANSWER_TOO_LARGE,
         ResultCode.CANCELLED,
         ResultCode.FAILED,
         ResultCode.FAILED_ON_MANY_UPSTREAMS,
         ResultCode.OUTCOME_UNKNOWN,
         ResultCode.TIMEOUT,
+        ResultCode.INTERNAL_ERROR,
     }
 )
 
 _STATUS_BY_CODE = {
+    ResultCode.UNKNOWN_PATH: 404,
+    ResultCode.WRONG_METHOD: 405,
     ResultCode.BODY_TOO_LARGE: 413,
     ResultCode.UNAUTHENTICATED: 401,
     ResultCode.FORBIDDEN: 403,
-    ResultCode.QUEUE_FULL: 429,
-    ResultCode.TOO_MANY_CONNECTIONS: 429,
     ResultCode.OVERLOADED: 503,
+    ResultCode.CALL_TOO_SLOW: 408,
     ResultCode.NOT_FOUND: 404,
     ResultCode.TIMEOUT: 504,
+    ResultCode.INTERNAL_ERROR: 500,
 }
 
 _STATUS_BY_GROUP = {1: 400, 2: 403, 3: 429, 4: 409, 5: 200, 6: 503, 7: 409, 8: 500}
 
+_CODE_BY_STATUS = {
+    400: ResultCode.BAD_FIELD,
+    404: ResultCode.UNKNOWN_PATH,
+    405: ResultCode.WRONG_METHOD,
+    413: ResultCode.BODY_TOO_LARGE,
+}
+
 
 def http_status(code: ResultCode) -> int:
     """Return the HTTP status that goes with a result code."""
@@ -52,33 +77,70 @@
     return _STATUS_BY_GROUP.get(code // 100, 200)
 
 
-def error_body(code: int, message: str, field: str | None = None) -> ErrorBody:
+def error_body(
+    code: int,
+    message: str,
+    field: str | None = None,
+    not_run: bool | None = None,
+) -> ErrorBody:
     """Return the JSON body for an error."""
     result_code = ResultCode(code)
+    if not_run is None:
+        not_run = result_code not in _MAY_HAVE_RUN
     return ErrorBody(
         code=code,
         name=result_code.name,
         message=message,
         field=field,
-        not_run=result_code not in _MAY_HAVE_RUN,
+        not_run=not_run,
     )
 
 
+def _respond(request: Request, error: PersimmonyardError) -> Response[Any]:
+    not_run = error.not_run
+    if request.url.path.startswith(_RECORDED_REQUEST_PATH):
+        # The refusal of a look-up says nothing about the request itself.
+        not_run = False
+    status = http_status(error.code)
+    headers = {}
+    if status in (429, 503):
+        headers["Retry-After"] = str(RETRY_AFTER_S)
+    body = error_body(error.code, error.message, error.field, not_run)
+    # The response of a refused call leaves its body unread, so the
+    # connection cannot be used again.
+    if error.code in (ResultCode.BODY_TOO_LARGE, ResultCode.CALL_TOO_SLOW):
+        headers["Connection"] = "close"
+    return Response(body, status_code=status, headers=headers)
+
+
 def _handle_own(request: Request, error: PersimmonyardError) -> Response[Any]:
-    body = error_body(error.code, error.message, error.field)
-    return Response(body, status_code=http_status(error.code))
+    return _respond(request, error)
 
 
 def _handle_http(request: Request, error: HTTPException) -> Response[Any]:
-    code = ResultCode.BAD_FIELD
-    if error.status_code == 413:
-        code = ResultCode.BODY_TOO_LARGE
-    if error.status_code in (404, 405):
-        code = ResultCode.NOT_FOUND
-    return Response(error_body(code, error.detail), status_code=error.status_code)
+    code = _CODE_BY_STATUS.get(error.status_code)
+    if code is None:
+        return _handle_other(request, error)
+    message = error.detail
+    if code == ResultCode.UNKNOWN_PATH:
+        message = f"no such path: {request.url.path}"
+    if code == ResultCode.WRONG_METHOD:
+        message = f"{request.url.path} does not accept {request.method}"
+    return _respond(request, PersimmonyardError(code, message))
+
+
+def _handle_other(request: Request, error: Exception) -> Response[Any]:
+    get_logger("http").error(
+        "call failed", path=request.url.path, exc_info=error, code=605
+    )
+    own = PersimmonyardError(
+        ResultCode.INTERNAL_ERROR, "the call failed inside this process"
+    )
+    return _respond(request, own)
 
 
 exception_handlers: dict[Any, Any] = {
     PersimmonyardError: _handle_own,
     HTTPException: _handle_http,
+    Exception: _handle_other,
 }
--- a/packages/daemon/src/persimmonyard/daemon/http_server.py
+++ b/packages/daemon/src/persimmonyard/daemon/http_server.py
@@ -2,25 +2,45 @@
 
 import asyncio
 import contextlib
+import json
 import socket
+from typing import Any
 
 import uvicorn
 from litestar import Litestar
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from persimmonyard.daemon.errors import RETRY_AFTER_S, error_body, http_status
+from persimmonyard.model import ResultCode
 
 __all__ = ["HttpServer"]
 
+MAX_CONNECTIONS = 2_048
+HEADERS_S = 10.0
+
 
 class HttpServer:
     """Serve a litestar application until it is stopped.
 
-    ``port`` is the bound port, also if the settings asked for port 0.
+    ``port`` is the bound port, also if the settings asked for port 0.  At
+    most ``connections`` connections are open at a time, and each has
+    ``headers_s`` seconds to send the headers of a call.
     """
 
-    def __init__(self, app: Litestar, host: str, port: int, drain_s: float):
+    def __init__(
+        self,
+        app: Litestar,
+        host: str,
+        port: int,
+        drain_s: float,
+        connections: int = MAX_CONNECTIONS,
+        headers_s: float = HEADERS_S,
+    ):
         self._socket = socket.create_server((host, port), backlog=2048)
         self.port = self._socket.getsockname()[1]
         config = uvicorn.Config(
             app,
+            http=_bounded_protocol(connections, headers_s),
             log_config=None,
             access_log=False,
             lifespan="off",
@@ -36,8 +56,84 @@
         serve = self._server.serve(sockets=[self._socket])
         self._task = asyncio.create_task(serve)
 
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.server_state.connections)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        for server in getattr(self._server, "servers", []):
+            server.close()
+
     async def stop(self) -> None:
         """Finish the calls in progress and close the socket."""
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+
+
+def _bounded_protocol(connections: int, headers_s: float) -> type[H11Protocol]:
+    class BoundedProtocol(H11Protocol):
+        """HTTP with a limit of connections and a deadline for headers."""
+
+        _headers_timer: asyncio.TimerHandle | None = None
+
+        def connection_made(self, transport: Any) -> None:
+            super().connection_made(transport)
+            if len(self.connections) > connections:
+                self._refuse(
+                    ResultCode.TOO_MANY_CONNECTIONS,
+                    f"this process has {connections} connections open",
+                )
+                return
+            self._set_timer()
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            self._clear_timer()
+            super().connection_lost(exc)
+
+        def data_received(self, data: bytes) -> None:
+            if not self._in_call() and self._headers_timer is None:
+                self._set_timer()
+            super().data_received(data)
+            if self._in_call():
+                self._clear_timer()
+
+        def send_400_response(self, msg: str) -> None:
+            self._refuse(ResultCode.BAD_JSON, f"the call is not HTTP: {msg}", 400)
+
+        def _in_call(self) -> bool:
+            return self.cycle is not None and not self.cycle.response_complete
+
+        def _set_timer(self) -> None:
+            self._headers_timer = self.loop.call_later(headers_s, self._too_slow)
+
+        def _clear_timer(self) -> None:
+            if self._headers_timer is not None:
+                self._headers_timer.cancel()
+                self._headers_timer = None
+
+        def _too_slow(self) -> None:
+            self._refuse(
+                ResultCode.CALL_TOO_SLOW,
+                f"the headers did not arrive within {headers_s:g} s",
+            )
+
+        def _refuse(
+            self, code: ResultCode, message: str, status: int | None = None
+        ) -> None:
+            self._clear_timer()
+            if self.transport.is_closing():
+                return
+            body = json.dumps(error_body(code, message)).encode()
+            head = (
+                f"HTTP/1.1 {status or http_status(code)} Refused\r\n"
+                "Content-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\n"
+                f"Retry-After: {RETRY_AFTER_S}\r\n"
+                "Connection: close\r\n\r\n"
+            )
+            self.transport.write(head.encode() + body)
+            self.transport.close()
+
+    return BoundedProtocol
--- a/packages/daemon/src/persimmonyard/daemon/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from persimmonyard.daemon.settings_checks import check_settings, explain_mismatch
 from persimmonyard.model import ResultCode, UserError
 
 __all__ = ["Settings", "load_settings"]
@@ -21,10 +22,11 @@
 
 
 class HttpSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """Where the process serves HTTP."""
+    """Where the process serves HTTP, and how long headers may take."""
 
     host: str
     port: int
+    headers_s: float
 
 
 class ControlSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -46,14 +48,18 @@
     """Limits of an entry process."""
 
     body_bytes: int
+    body_s: float
     connections: int
+    calls_per_account: int
     waiting_requests: int
+    queued_commands: int
     wait_s: float
 
 
 class ShutdownSettings(msgspec.Struct, forbid_unknown_fields=True):
     """How long a graceful shutdown may take."""
 
+    notice_s: float
     drain_s: float
 
 
@@ -85,13 +91,17 @@
     try:
         _merge(merged, tomllib.loads(path.read_text()))
         settings = msgspec.convert(merged, Settings)
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise UserError(
             ResultCode.BAD_SETTING, f"cannot read settings: {error}"
         ) from error
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise UserError(ResultCode.BAD_SETTING, f"settings: {error}") from error
-    _check(settings)
+    except tomllib.TOMLDecodeError as error:
+        raise UserError(
+            ResultCode.BAD_SETTING, f"settings are not TOML: {error}"
+        ) from error
+    except msgspec.ValidationError as error:
+        raise explain_mismatch(str(error), merged) from error
+    check_settings(settings)
     return settings
 
 
@@ -101,24 +111,3 @@
             _merge(base[key], value)
             continue
         base[key] = value
-
-
-def _check(settings: Settings) -> None:
-    if not settings.process.name:
-        raise _bad("process.name", "a name that is unique in the deployment")
-    if settings.process.role not in ("entry", "control"):
-        raise _bad("process.role", '"entry" or "control"')
-    if not settings.process.zone:
-        raise _bad("process.zone", "the availability zone of the instance")
-    if not settings.control.replicas:
-        raise _bad("control.replicas", 'name = "host:port" of each control process')
-    if settings.process.role == "control" and not settings.control.data_folder:
-        raise _bad("control.data_folder", "a folder on a disk of the instance")
-    if settings.log.level not in ("debug", "info", "warning", "error"):
-        raise _bad("log.level", '"debug", "info", "warning" or "error"')
-
-
-def _bad(key: str, accepted: str) -> UserError:
-    return UserError(
-        ResultCode.BAD_SETTING, f"setting {key!r} must be {accepted}", field=key
-    )
--- a/packages/model/src/persimmonyard/model/result.py
+++ b/packages/model/src/persimmonyard/model/result.py
@@ -23,12 +23,15 @@
     UNKNOWN_CLASS = 106
     UNKNOWN_ACCOUNT = 107
     UNKNOWN_ZONE = 108
+    UNKNOWN_PATH = 109
+    WRONG_METHOD = 110
     UNAUTHENTICATED = 200
     FORBIDDEN = 201
     QUEUE_FULL = 300
     TOO_MANY_CONNECTIONS = 301
     OVERLOADED = 302
     ANSWER_TOO_LARGE = 303
+    CALL_TOO_SLOW = 304
     KEY_REUSED = 400
     VERSION_CONFLICT = 401
     GUARANTEE_DOES_NOT_FIT = 402
@@ -47,6 +50,7 @@
     STOPPING = 602
     TIMEOUT = 603
     CONFIGURATION_LEASE_EXPIRED = 604
+    INTERNAL_ERROR = 605
     STALE_FENCE = 700
     PERMIT_EXPIRED = 701
     NO_FREE_SLOT = 702
@@ -61,16 +65,25 @@
     """An error with a result code and a one-line message.
 
     ``field`` names the input field or settings key at fault, if there is one.
+    ``not_run`` says whether the call certainly started and recorded nothing;
+    ``None`` leaves that to the meaning of the code.
 
     Example: ``raise PersimmonyardError(ResultCode.NOT_FOUND, "no request
     'r-1'")``.
     """
 
-    def __init__(self, code: ResultCode, message: str, field: str | None = None):
+    def __init__(
+        self,
+        code: ResultCode,
+        message: str,
+        field: str | None = None,
+        not_run: bool | None = None,
+    ):
         super().__init__(message)
         self.code = code
         self.message = message
         self.field = field
+        self.not_run = not_run
 
 
 class UserError(PersimmonyardError):
--- a/packages/wire/src/persimmonyard/wire/session.py
+++ b/packages/wire/src/persimmonyard/wire/session.py
@@ -48,11 +48,15 @@
 
 @dataclass(frozen=True)
 class ConfigurationUpdate:
-    """Changes that lead to ``version``; ``full`` replaces everything."""
+    """Changes that lead from ``base`` to ``version``.
+
+    ``full``, like ``base`` 0, replaces everything.
+    """
 
     version: int
     changes: tuple[ConfigurationChange, ...]
     full: bool = False
+    base: int = 0
 
 
 class DispatchAction(StrEnum):
