--- a/packages/state/src/persimmonyard/state/machine.py
+++ b/packages/state/src/persimmonyard/state/machine.py
@@ -83,8 +83,8 @@
 
     def known_result(self, identity: str) -> CommandResult | None:
         """Return the result of a command that was already executed."""
-        known = self._contents.result_by_identity.get(identity)
-        return None if known is None else known[1]
+        known = self._store.contents.result_by_identity.get(identity)
+        return None if known is None else known.result
 
     def drain_changes(self) -> list[Change]:
         """Return the changes since the last call, in order."""
--- a/packages/wire/src/persimmonyard/wire/session.py
+++ b/packages/wire/src/persimmonyard/wire/session.py
@@ -48,15 +48,15 @@
 
 @dataclass(frozen=True)
 class ConfigurationUpdate:
-    """Changes that lead from ``base_version`` to ``version``.
+    """Changes that lead from ``base`` to ``version``.
 
-    ``full`` replaces everything, whatever the entry had before.
+    ``full``, like ``base`` 0, replaces everything.
     """
 
     version: int
     changes: tuple[ConfigurationChange, ...]
     full: bool = False
-    base_version: int = 0
+    base: int = 0
 
 
 class DispatchAction(StrEnum):
--- a/test/daemon/test_sessions.py
+++ b/test/daemon/test_sessions.py
@@ -85,13 +85,20 @@
         update, reply = self.messages(session)
         self.assertEqual((update.update.version, reply.sequence), (version, 2))
 
+    def test_first_lease_carries_the_current_version(self):
+        """An entry that reconnects gets no lease on an older version."""
+        version = self.control.configure(ZONE_OUT).version
+        session = self.open("e1", 1)
+        (reply,) = self.messages(session)
+        self.assertEqual((reply.sequence, reply.update.version), (1, version))
+
     def test_reconnecting_entry_gets_only_what_it_misses(self):
         """A reconnect sends the changes after the entry's version."""
         self.control.configure(ZONE_OUT)
         session = self.open("e1", 1)
         update = self.messages(session)[0].update
         self.assertEqual(
-            (update.full, update.base_version, update.changes),
+            (update.full, update.base, update.changes),
             (False, 1, (ZONE_OUT,)),
         )
 
