Wait for both upstreams before the whole path tests

Cause: the scheduler refuses with 502 what can never fit on the registered fleet, and the gang test submitted while only one of two upstreams had announced itself. Change: setUpClass waits until both are registered; no assertion changes. Result: the three tests pass; without the wait the gang test fails with 502.

--- a/test/daemon/test_whole_path.py
+++ b/test/daemon/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import base64
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -26,6 +27,25 @@
         account = {"name": "clinic", "token_hashes": [hash_token(CLIENT_TOKEN)]}
         changes = [{"work_class": {"name": "fit"}}, {"client_account": account}]
         cls.operate({"changes": changes, "wait_s": 20.0})
+        cls.wait_for_upstreams(2)
+
+    @classmethod
+    def wait_for_upstreams(cls, count):
+        """Wait until so many upstreams are registered.
+
+        A gang that needs both is refused while only one is known.
+        """
+        deadline = time.monotonic() + 60.0
+        while time.monotonic() < deadline:
+            status = httpx.get(
+                f"{cls.deployment.entry_url(1)}/v1/operator/status",
+                headers={"Authorization": f"Bearer {cls.deployment.operator_token}"},
+                timeout=30.0,
+            ).json()
+            if len(status.get("upstreams", ())) >= count:
+                return
+            time.sleep(0.1)
+        raise TimeoutError(f"fewer than {count} upstreams are registered: {status}")
 
     @classmethod
     def operate(cls, body):
