Decide placement with guarantees, borrowing and reclaiming

Cause: the scheduler was a first-fit stub without guarantees. Change: fleet index with four views, joint layout of guaranteed blocks, grouped queue, claims with the cheapest victims, holds for waiting gangs, warm-up and evacuation of zones.

--- /dev/null
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -0,0 +1,97 @@
+"""Everything that the scheduler knows, shared by its parts."""
+
+from persimmonyard.model import ClassSpec, ClientAccountSpec, Shape
+from persimmonyard.scheduler.events import Job
+from persimmonyard.scheduler.fleet import Fleet, Node
+from persimmonyard.scheduler.holds import Holds
+from persimmonyard.scheduler.layout import Layout
+from persimmonyard.scheduler.placement import can_ever_fit
+from persimmonyard.scheduler.queue import WaitingQueue
+from persimmonyard.scheduler.targets import RunTimes, is_urgent, latest_start
+from persimmonyard.scheduler.vector import ZERO, Vector, add, highest
+from persimmonyard.scheduler.work import Kind, Work
+from persimmonyard.scheduler.zones import ZonePace
+
+__all__ = ["Books"]
+
+
+class Books:
+    """The fleet, running and waiting work, guarantees and configuration."""
+
+    def __init__(self, run_times: RunTimes) -> None:
+        self.run_times = run_times
+        self.fleet = Fleet()
+        self.work = Work(self.fleet)
+        self.layout = Layout(self.fleet)
+        self.queue = WaitingQueue()
+        self.holds = Holds(self.fleet, self.work, run_times)
+        self.pace = ZonePace()
+        self.class_by_name: dict[str, ClassSpec] = {}
+        self.account_by_name: dict[str, ClientAccountSpec] = {}
+        # The largest amount that a freed upstream offers since the last
+        # decision, with what borrowers use there.
+        self.reachable: Vector | None = None
+        self.wake_all = False
+        # Work to move away, with the zone that it is moved out of.
+        self.evacuee_zone_by_id: dict[str, str] = {}
+        # Requests whose attempt has ended since the last decision.
+        self.ended: list[str] = []
+        self.next_number_by_id: dict[str, int] = {}
+        self._fits_by_shape: dict[tuple[Shape, frozenset[str]], bool] = {}
+        self.fleet.on_freed = self.note_freed
+
+    def note_freed(self, node: Node) -> None:
+        """Remember that waiting work may fit on a node."""
+        offered = add(node.free, node.borrowed)
+        self.reachable = highest(self.reachable or ZERO, offered)
+
+    def urgent(self, job: Job) -> bool:
+        """Return whether a job belongs to an urgent class."""
+        return is_urgent(self.class_by_name.get(job.class_name))
+
+    def fleet_changed(self) -> None:
+        """Forget which shapes can ever fit."""
+        self._fits_by_shape.clear()
+
+    def ever_fits(self, shape: Shape, avoid: frozenset[str] = frozenset()) -> bool:
+        """Return whether the empty registered fleet could hold a shape."""
+        key = (shape, avoid)
+        known = self._fits_by_shape.get(key)
+        if known is None:
+            known = can_ever_fit(self.fleet, shape, avoid)
+            self._fits_by_shape[key] = known
+        return known
+
+    def enqueue(self, job: Job, now: float) -> None:
+        """Add a job to the queue in the order that its class asks for."""
+        spec = self.class_by_name.get(job.class_name)
+        tier = 0 if is_urgent(spec) else 1
+        self.queue.add(job, tier, latest_start(job, spec, self.run_times), now)
+
+    def give_up_claim(self, request_id: str, now: float) -> None:
+        """Return a claim's capacity; its job is tried again if it waits."""
+        claim = self.work.drop_claim(request_id)
+        if request_id not in self.work.task_by_id:
+            self.enqueue(claim.job, now)
+
+    def settle_layout(self, limit: int) -> None:
+        """Lay pending blocks, then match the kinds of running work."""
+        if self.layout.pending:
+            self.layout.settle(limit)
+        if self.layout.pending:
+            return
+        while self.layout.moved:
+            account, node_id = self.layout.moved.pop()
+            self._match_kinds(account, self.fleet.node_by_id[node_id])
+
+    def _match_kinds(self, account: str, node: Node) -> None:
+        for task in list(self.work.tasks_on(node)):
+            if task.job.client_account != account:
+                continue
+            if task.kind == Kind.HOME and not self.work.covered(task):
+                self.work.set_kind(task, Kind.BORROWER)
+        for task in list(self.work.tasks_on(node)):
+            if task.job.client_account != account or task.stopping:
+                continue
+            if task.kind == Kind.BORROWER and self.work.fits_home(task):
+                self.work.set_kind(task, Kind.HOME)
--- a/packages/scheduler/src/persimmonyard/scheduler/events.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/events.py
@@ -32,6 +32,8 @@
 
     Times are in seconds on the clock that is passed to the scheduler.
     ``avoid`` holds upstreams on which the request failed before.
+    ``attempts`` is the number of attempts on record, ``None`` if the
+    scheduler is to count them itself.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     submitted_at: float
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
+    attempts: int | None = None
 
 
 @dataclass(frozen=True)
@@ -107,12 +110,18 @@
 
 @dataclass(frozen=True)
 class AttemptPlaced:
-    """An attempt occupies its members, also told when state is rebuilt."""
+    """An attempt occupies its members, also told when state is rebuilt.
+
+    ``incarnations`` names the start of each upstream that the attempt is on;
+    members of an earlier start occupy nothing.  Empty means the current one.
+    """
 
     job: Job
     number: int
     upstream_ids: tuple[str, ...]
     borrowed: bool
+    incarnations: tuple[str, ...] = ()
+    placed_at: float | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/scheduler/src/persimmonyard/scheduler/fleet.py
@@ -0,0 +1,221 @@
+"""The upstreams with what is taken, reserved and available on each."""
+
+from collections.abc import Callable, Iterable, Iterator
+from enum import IntEnum
+
+from persimmonyard.model import UpstreamSpec
+from persimmonyard.scheduler.fit_index import FitIndex, RackKey
+from persimmonyard.scheduler.vector import (
+    ZERO,
+    Vector,
+    add,
+    capacity_of,
+    highest,
+    lowest,
+    subtract,
+)
+
+__all__ = ["Fleet", "Node", "View"]
+
+
+class View(IntEnum):
+    """What an index counts as available on an upstream.
+
+    ``FREE`` is unused now.  ``SURPLUS`` is unused now and needed by no
+    guarantee.  ``OPEN`` is needed by no guarantee and no pinned work, used
+    now or not.  ``RECLAIMABLE`` is unused or used by borrowers that are not
+    urgent.
+    """
+
+    FREE = 0
+    SURPLUS = 1
+    OPEN = 2
+    RECLAIMABLE = 3
+
+
+class Node:
+    """One upstream with its accounts of capacity."""
+
+    __slots__ = (
+        "borrowed",
+        "calm_borrowed",
+        "capacity",
+        "cells_by_account",
+        "free",
+        "home_by_account",
+        "incarnation",
+        "leaving",
+        "lost",
+        "need",
+        "node_id",
+        "pinned_by_account",
+        "quarantined",
+        "rack",
+        "task_ids",
+        "zone",
+    )
+
+    def __init__(self, spec: UpstreamSpec):
+        self.node_id = spec.upstream_id
+        self.incarnation = spec.incarnation
+        self.zone = spec.zone
+        self.rack: RackKey = (spec.zone, spec.rack)
+        self.capacity = capacity_of(spec)
+        self.free = self.capacity
+        self.need = ZERO
+        self.cells_by_account: dict[str, Vector] = {}
+        self.pinned_by_account: dict[str, Vector] = {}
+        # The part of the pinned work that can be stopped and run again.
+        self.home_by_account: dict[str, Vector] = {}
+        self.borrowed = ZERO
+        self.calm_borrowed = ZERO
+        self.task_ids: dict[str, int] = {}
+        self.leaving = False
+        self.lost = False
+        self.quarantined = False
+
+    def open(self) -> Vector:
+        """Return the capacity that no guarantee and no pinned work needs."""
+        return subtract(self.capacity, self.need)
+
+    def share(self, account: str) -> Vector:
+        """Return what is needed on behalf of one client account."""
+        return highest(
+            self.cells_by_account.get(account, ZERO),
+            self.pinned_by_account.get(account, ZERO),
+        )
+
+    def pinnable(self, account: str) -> Vector:
+        """Return how much more pinned work of the account the node takes."""
+        others = subtract(self.need, self.share(account))
+        pinned = self.pinned_by_account.get(account, ZERO)
+        return subtract(subtract(self.capacity, others), pinned)
+
+    def unstoppable(self, account: str) -> Vector:
+        """Return the account's pinned work that cannot be stopped."""
+        pinned = self.pinned_by_account.get(account, ZERO)
+        return subtract(pinned, self.home_by_account.get(account, ZERO))
+
+    def home_room(self, account: str) -> Vector:
+        """Return the unused part of the account's cells on this node.
+
+        A cell comes with one slot; further slots count as long as no other
+        account needs them.
+        """
+        cells = self.cells_by_account.get(account)
+        if cells is None:
+            return ZERO
+        left = subtract(cells, self.pinned_by_account.get(account, ZERO))
+        return (left[0], left[1], left[2], self.pinnable(account)[3])
+
+
+class Fleet:
+    """All upstreams by identifier, with one index for each zone and view."""
+
+    def __init__(self) -> None:
+        self.node_by_id: dict[str, Node] = {}
+        self.closed_zones: set[str] = set()
+        self.cell_ids_by_account: dict[str, set[str]] = {}
+        self.pinned_ids_by_account: dict[str, set[str]] = {}
+        self.ids_by_zone: dict[str, set[str]] = {}
+        self._index_by_zone: dict[str, list[FitIndex]] = {}
+        # Called with a node after its available capacity may have grown.
+        self.on_freed: Callable[[Node], None] = lambda node: None
+
+    def add_node(self, node: Node) -> None:
+        """Register a new start of an upstream."""
+        old = self.node_by_id.get(node.node_id)
+        if old is not None:
+            self.ids_by_zone[old.zone].discard(old.node_id)
+        self.node_by_id[node.node_id] = node
+        self.ids_by_zone.setdefault(node.zone, set()).add(node.node_id)
+        self._index_by_zone.setdefault(node.zone, [FitIndex() for _ in View])
+        self.refresh(node)
+
+    def forget(self, node: Node) -> None:
+        """Take a node out of the indexes before it is replaced."""
+        for index in self._index_by_zone.get(node.zone, ()):
+            index.remove(node.node_id)
+
+    def usable(self, node: Node) -> bool:
+        """Return whether new work may be placed on a node."""
+        if node.leaving or node.lost or node.quarantined:
+            return False
+        return node.zone not in self.closed_zones
+
+    def refresh(self, node: Node) -> None:
+        """Bring the indexes up to date with one node."""
+        if self.node_by_id.get(node.node_id) is not node:
+            return
+        if not self.usable(node):
+            self.forget(node)
+            return
+        indexes = self._index_by_zone[node.zone]
+        unneeded = node.open()
+        node_id, rack = node.node_id, node.rack
+        indexes[View.FREE].put(node_id, rack, node.free)
+        indexes[View.SURPLUS].put(node_id, rack, lowest(node.free, unneeded))
+        indexes[View.OPEN].put(node_id, rack, unneeded)
+        reclaimable = add(node.free, node.calm_borrowed)
+        indexes[View.RECLAIMABLE].put(node_id, rack, reclaimable)
+
+    def refresh_zone(self, zone: str) -> None:
+        """Bring the indexes up to date after a zone was opened or closed."""
+        for node_id in sorted(self.ids_by_zone.get(zone, ())):
+            self.refresh(self.node_by_id[node_id])
+
+    def indexes(self, view: View) -> Iterator[tuple[str, FitIndex]]:
+        """Yield the zones in service, each with its index of one view."""
+        for zone, indexes in self._index_by_zone.items():
+            if zone not in self.closed_zones:
+                yield zone, indexes[view]
+
+    def nodes(self, node_ids: Iterable[str]) -> list[Node]:
+        """Return the nodes with the given identifiers."""
+        return [self.node_by_id[node_id] for node_id in node_ids]
+
+    # Changes of one node's accounts.
+
+    def take(self, node: Node, amount: Vector) -> None:
+        """Count an amount as used."""
+        node.free = subtract(node.free, amount)
+
+    def release(self, node: Node, amount: Vector) -> None:
+        """Count an amount as unused."""
+        node.free = add(node.free, amount)
+        self.on_freed(node)
+
+    def pin(self, node: Node, account: str, amount: Vector) -> None:
+        """Add to the pinned work of an account (negative: take away)."""
+        before = node.share(account)
+        pinned = add(node.pinned_by_account.get(account, ZERO), amount)
+        _store(node, node.pinned_by_account, account, pinned)
+        _note(self.pinned_ids_by_account, account, node, pinned)
+        node.need = add(subtract(node.need, before), node.share(account))
+
+    def change_cells(self, node: Node, account: str, amount: Vector) -> None:
+        """Add to the cells of an account (negative: take away)."""
+        before = node.share(account)
+        cells = add(node.cells_by_account.get(account, ZERO), amount)
+        _store(node, node.cells_by_account, account, cells)
+        _note(self.cell_ids_by_account, account, node, cells)
+        node.need = add(subtract(node.need, before), node.share(account))
+        self.refresh(node)
+
+
+def _store(
+    node: Node, by_account: dict[str, Vector], account: str, amount: Vector
+) -> None:
+    if amount == ZERO:
+        by_account.pop(account, None)
+        return
+    by_account[account] = amount
+
+
+def _note(
+    ids_by_account: dict[str, set[str]], account: str, node: Node, amount: Vector
+) -> None:
+    if amount == ZERO:
+        ids_by_account.get(account, set()).discard(node.node_id)
+        return
+    ids_by_account.setdefault(account, set()).add(node.node_id)
--- /dev/null
+++ b/packages/scheduler/src/persimmonyard/scheduler/layout_search.py
@@ -0,0 +1,136 @@
+"""Bounded exhaustive search for a joint layout of guaranteed blocks."""
+
+from typing import NamedTuple
+
+from persimmonyard.model import Adjacency, Shape
+from persimmonyard.scheduler.fleet import Fleet, Node
+from persimmonyard.scheduler.placement import Members
+from persimmonyard.scheduler.vector import (
+    ZERO,
+    Vector,
+    add,
+    covers,
+    highest,
+    member_need,
+    scale,
+    subtract,
+    times,
+)
+
+__all__ = ["Demand", "search_layout"]
+
+# The search is complete for fleets of a few instances, and a second try after
+# the greedy layout on larger ones.  Beyond this size it would end without a
+# result.
+MAX_NODES = 400
+
+
+class Demand(NamedTuple):
+    """A block that is to be laid; ``key`` begins with the account."""
+
+    key: tuple[str, int]
+    shape: Shape
+
+
+class _Budget:
+    def __init__(self, steps: int) -> None:
+        self.steps = steps
+
+    def spend(self) -> bool:
+        self.steps -= 1
+        return self.steps >= 0
+
+
+def search_layout(
+    fleet: Fleet, demands: list[Demand], steps: int
+) -> list[Members] | None:
+    """Return members for every demand, or ``None`` if none were found.
+
+    At most ``steps`` partial layouts are looked at.  All cells are laid anew
+    around the work that cannot be stopped.
+    """
+    nodes = [node for node in fleet.node_by_id.values() if fleet.usable(node)]
+    if len(nodes) > MAX_NODES:
+        return None
+    nodes.sort(key=lambda node: (node.capacity[0], node.node_id))
+    cells: dict[tuple[str, str], Vector] = {}
+    found: list[Members] = []
+    if _lay_from(nodes, demands, cells, found, _Budget(steps)):
+        return found
+    return None
+
+
+def _lay_from(
+    nodes: list[Node],
+    demands: list[Demand],
+    cells: dict[tuple[str, str], Vector],
+    found: list[Members],
+    budget: _Budget,
+) -> bool:
+    if len(found) == len(demands):
+        return True
+    demand = demands[len(found)]
+    for group in _groups(nodes, demand.shape):
+        # Each entry: members so far, next node, members left to lay.
+        stack: list[tuple[Members, int, int]] = [({}, 0, demand.shape.gang)]
+        while stack:
+            members, position, left = stack.pop()
+            if not budget.spend():
+                return False
+            if left == 0:
+                _change(cells, demand, members, 1)
+                found.append(members)
+                if _lay_from(nodes, demands, cells, found, budget):
+                    return True
+                found.pop()
+                _change(cells, demand, members, -1)
+                continue
+            if position == len(group):
+                continue
+            node = group[position]
+            most = min(left, _room(node, demand, cells))
+            for count in range(most + 1):
+                grown = members
+                if count:
+                    grown = members | {node.node_id: count}
+                stack.append((grown, position + 1, left - count))
+    return False
+
+
+def _groups(nodes: list[Node], shape: Shape) -> list[list[Node]]:
+    if shape.gang == 1 or shape.adjacency == Adjacency.NONE:
+        return [nodes]
+    by_place: dict[tuple[str, str], list[Node]] = {}
+    for node in nodes:
+        place = node.rack
+        if shape.adjacency == Adjacency.ZONE:
+            place = (node.zone, "")
+        by_place.setdefault(place, []).append(node)
+    return [by_place[place] for place in sorted(by_place)]
+
+
+def _room(node: Node, demand: Demand, cells: dict[tuple[str, str], Vector]) -> int:
+    account = demand.key[0]
+    taken = ZERO
+    accounts = set(node.pinned_by_account)
+    accounts.update(one for one, node_id in cells if node_id == node.node_id)
+    accounts.discard(account)
+    for other in accounts:
+        own = cells.get((other, node.node_id), ZERO)
+        taken = add(taken, highest(own, node.unstoppable(other)))
+    limit = subtract(node.capacity, taken)
+    if not covers(limit, node.unstoppable(account)):
+        return 0
+    laid = cells.get((account, node.node_id), ZERO)
+    return times(member_need(demand.shape), subtract(limit, laid))
+
+
+def _change(
+    cells: dict[tuple[str, str], Vector], demand: Demand, members: Members, sign: int
+) -> None:
+    need = member_need(demand.shape)
+    for node_id, count in members.items():
+        key = (demand.key[0], node_id)
+        cells[key] = add(cells.get(key, ZERO), scale(need, sign * count))
+        if cells[key] == ZERO:
+            del cells[key]
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -1,179 +1,343 @@
 """The scheduler: facts in, decisions out, time as an argument."""
 
-from typing import NamedTuple
+import heapq
 
-from persimmonyard.model import Adjacency, ClientAccountSpec, Resources, UpstreamSpec
+from persimmonyard.model import Adjacency, ClientAccountSpec, ResultCode, Shape
+from persimmonyard.scheduler.books import Books
 from persimmonyard.scheduler.decisions import (
     Decision,
     GuaranteeProblem,
     Place,
+    Preempt,
     Reason,
+    Refuse,
 )
-from persimmonyard.scheduler.events import (
-    AttemptEnded,
-    AttemptPlaced,
-    Event,
-    Job,
-    JobGone,
-    JobWaiting,
-    UpstreamDown,
-    UpstreamLeaving,
-    UpstreamUp,
-    ZoneChanged,
-)
+from persimmonyard.scheduler.evacuation import Evacuation
+from persimmonyard.scheduler.events import Event, Job
+from persimmonyard.scheduler.facts import Facts
+from persimmonyard.scheduler.moves import Moves
+from persimmonyard.scheduler.planner import LAYOUT_PENDING, NO_CAPACITY, Plan, Planner
+from persimmonyard.scheduler.targets import DeclaredRunTimes, RunTimes
+from persimmonyard.scheduler.vector import member_need, times
+from persimmonyard.scheduler.work import Kind, Task, stoppable
 
 __all__ = ["Scheduler"]
 
+# Bounds of one call of ``decide``, so that the caller is never blocked for
+# long; ``next_wakeup`` asks for the next call at once.
+MAX_DECISIONS = 64
+MAX_TRIES = 64
+MAX_BLOCKS_LAID = 16
+
+# Jobs of one account that are tried in a row before another account's turn.
+TRIES_IN_A_ROW = 4
+
+# How long a claim waits for its victims to end.  A stop takes at most a task
+# lease of 15 s, a checkpoint before it as long again.
+CLAIM_TIMEOUT_S = 60.0
 
-class _Running(NamedTuple):
-    job: Job
-    number: int
-    upstream_ids: tuple[str, ...]
+# How often zones that are warmed up are looked at again.
+WARM_UP_TICK_S = 0.25
 
 
 class Scheduler:
-    """Place waiting jobs on upstreams.
+    """Place waiting jobs on upstreams within all accounts' guarantees.
 
     Example: after ``observe(UpstreamUp(spec), now)`` and
     ``observe(JobWaiting(job), now)``, ``decide(now)`` returns a ``Place``.
     """
 
-    def __init__(self) -> None:
-        self._spec_by_id: dict[str, UpstreamSpec] = {}
-        self._free_by_id: dict[str, Resources] = {}
-        self._slots_by_id: dict[str, int] = {}
-        self._closed_ids: set[str] = set()
-        self._closed_zones: set[str] = set()
-        self._waiting_by_id: dict[str, Job] = {}
-        self._running_by_id: dict[str, _Running] = {}
-        self._next_number_by_id: dict[str, int] = {}
-        self._reason_by_id: dict[str, Reason] = {}
+    def __init__(self, run_times: RunTimes | None = None) -> None:
+        self._books = Books(run_times or DeclaredRunTimes())
+        self._facts = Facts(self._books)
+        self._planner = Planner(self._books)
+        self._evacuation = Evacuation(self._books, self._planner)
+        self._moves = Moves(self._books, self._planner)
+        self._decided_at = 0.0
+        self._warmed_at = 0.0
+        self._ready_claims: list[str] = []
 
     def observe(self, event: Event, now: float) -> None:
         """Take note of a fact."""
-        match event:
-            case UpstreamUp(spec):
-                self._add(spec)
-            case UpstreamLeaving(upstream_id):
-                self._closed_ids.add(upstream_id)
-            case UpstreamDown(upstream_id):
-                self._closed_ids.add(upstream_id)
-            case ZoneChanged(zone, in_service):
-                self._closed_zones.discard(zone)
-                if not in_service:
-                    self._closed_zones.add(zone)
-            case JobWaiting(job):
-                self._waiting_by_id[job.request_id] = job
-            case JobGone(request_id):
-                self._waiting_by_id.pop(request_id, None)
-                self._reason_by_id.pop(request_id, None)
-                self._next_number_by_id.pop(request_id, None)
-            case AttemptPlaced(job, number, upstream_ids, _):
-                self._occupy(job, number, upstream_ids)
-            case AttemptEnded(request_id, number):
-                self._release(request_id, number)
+        self._facts.observe(event, now)
 
     def decide(self, now: float) -> list[Decision]:
-        """Return the decisions that the known facts call for."""
+        """Return the decisions that the known facts call for.
+
+        One call makes a bounded number of them.
+        """
+        self._decided_at = now
         decisions: list[Decision] = []
-        for job in list(self._waiting_by_id.values()):
-            if job.not_before > now:
-                continue
-            chosen = self._choose(job)
-            if chosen is None:
-                self._reason_by_id[job.request_id] = Reason(
-                    "no_capacity", "not enough free capacity now"
-                )
-                continue
-            number = self._next_number_by_id.get(job.request_id, 1)
-            self._occupy(job, number, chosen)
-            reason = Reason("placed", "first fit")
-            decisions.append(Place(job.request_id, number, chosen, False, reason))
+        self._books.settle_layout(MAX_BLOCKS_LAID)
+        self._expire_claims(now)
+        self._place_claims(now, decisions)
+        self._wake(now)
+        self._try_jobs(now, decisions)
+        self._evacuation.run(now, decisions)
         return decisions
 
     def next_wakeup(self) -> float | None:
         """Return when ``decide`` is due without a new fact."""
-        times = [job.not_before for job in self._waiting_by_id.values()]
-        return min(times, default=None)
+        books = self._books
+        if books.queue.any_ready() or books.layout.pending or books.ended:
+            return self._decided_at
+        if books.wake_all or (books.reachable is not None and len(books.queue)):
+            return self._decided_at
+        times_due = []
+        delayed = books.queue.next_due()
+        if delayed is not None:
+            times_due.append(delayed)
+        for claim in books.work.claim_by_id.values():
+            times_due.append(claim.placed_at + CLAIM_TIMEOUT_S)
+        if books.pace.warming() and len(books.queue):
+            times_due.append(self._warmed_at + WARM_UP_TICK_S)
+        evacuation = self._evacuation.next_wakeup(self._decided_at)
+        if evacuation is not None:
+            times_due.append(evacuation)
+        return min(times_due, default=None)
 
     def why_waiting(self, request_id: str) -> Reason | None:
         """Return why a request waits."""
-        return self._reason_by_id.get(request_id)
+        claim = self._books.work.claim_by_id.get(request_id)
+        if claim is not None and request_id not in self._books.work.task_by_id:
+            count = len(claim.victims)
+            return Reason("reclaiming", f"waits until {count} preempted tasks end")
+        return self._books.queue.why_waiting(request_id)
 
     def check_guarantees(
         self, accounts: list[ClientAccountSpec]
     ) -> list[GuaranteeProblem]:
-        """Return the guaranteed shapes that do not fit on the fleet."""
-        return []
-
-    def _add(self, spec: UpstreamSpec) -> None:
-        known = self._spec_by_id.get(spec.upstream_id)
-        self._spec_by_id[spec.upstream_id] = spec
-        self._closed_ids.discard(spec.upstream_id)
-        if known is not None and known.incarnation == spec.incarnation:
-            return
-        self._free_by_id[spec.upstream_id] = spec.capacity()
-        self._slots_by_id[spec.upstream_id] = spec.slots
+        """Return the new guaranteed shapes that do not fit beside the rest.
 
-    def _occupy(self, job: Job, number: int, upstream_ids: tuple[str, ...]) -> None:
-        self._waiting_by_id.pop(job.request_id, None)
-        if job.request_id in self._running_by_id:
-            return
-        self._running_by_id[job.request_id] = _Running(job, number, upstream_ids)
-        self._next_number_by_id[job.request_id] = number + 1
-        for upstream_id in upstream_ids:
-            if upstream_id not in self._free_by_id:
-                continue
-            free = self._free_by_id[upstream_id]
-            self._free_by_id[upstream_id] = free.minus(job.shape.member())
-            self._slots_by_id[upstream_id] -= 1
+        Blocks that are already in force are not judged again: they are at
+        risk if they do not fit, see ``guarantees_at_risk``.
+        """
+        layout = self._books.layout
+        self._books.settle_layout(len(layout.pending))
+        guarantee_by_account = {one.name: one.guarantee for one in accounts}
+        problems = []
+        for block in layout.misfits(guarantee_by_account):
+            text = (
+                f"block {block.key.block} of client account "
+                f"{block.key.account!r} ({_describe(block.shape)}) does not fit "
+                "beside the other guarantees"
+            )
+            problems.append(GuaranteeProblem(block.key.account, block.key.block, text))
+        return problems
 
-    def _release(self, request_id: str, number: int) -> None:
-        running = self._running_by_id.get(request_id)
-        if running is None or running.number != number:
-            return
-        del self._running_by_id[request_id]
-        for upstream_id in running.upstream_ids:
-            if upstream_id not in self._free_by_id:
+    def guarantees_at_risk(self) -> list[GuaranteeProblem]:
+        """Return the guaranteed shapes that no longer fit on the fleet."""
+        layout = self._books.layout
+        self._books.settle_layout(len(layout.pending))
+        problems = []
+        for key in sorted(layout.at_risk):
+            shape = layout.block_by_key[key].shape
+            text = (
+                f"block {key.block} of client account {key.account!r} "
+                f"({_describe(shape)}) does not fit; {self._remedy(shape)}"
+            )
+            problems.append(GuaranteeProblem(key.account, key.block, text))
+        return problems
+
+    def _remedy(self, shape: Shape) -> str:
+        """Return what would bring a block at risk back."""
+        need = member_need(shape)
+        fleet = self._books.fleet
+        absent = 0
+        for node in fleet.node_by_id.values():
+            if not fleet.usable(node) and times(need, node.capacity):
+                absent += 1
+        parts = [f"it needs upstreams for {_describe(shape)} beside the other blocks"]
+        if fleet.closed_zones:
+            zones = ", ".join(sorted(fleet.closed_zones))
+            parts.append(f"zones out of service: {zones}")
+        if absent:
+            parts.append(f"{absent} registered upstreams that could help are absent")
+        return "; ".join(parts)
+
+    # Claims.
+
+    def _place_claims(self, now: float, decisions: list[Decision]) -> None:
+        books = self._books
+        while books.ended:
+            self._ready_claims += books.work.victim_ended(books.ended.pop())
+        waiting = []
+        for request_id in self._ready_claims:
+            claim = books.work.claim_by_id.get(request_id)
+            if claim is None or claim.victims:
                 continue
-            free = self._free_by_id[upstream_id]
-            self._free_by_id[upstream_id] = free.plus(running.job.shape.member())
-            self._slots_by_id[upstream_id] += 1
-
-    def _choose(self, job: Job) -> tuple[str, ...] | None:
-        for group in self._groups(job.shape.adjacency):
-            chosen = self._choose_in(job, group)
-            if chosen is not None:
-                return chosen
-        return None
-
-    def _groups(self, adjacency: Adjacency) -> list[list[UpstreamSpec]]:
-        by_place: dict[tuple[str, str], list[UpstreamSpec]] = {}
-        for spec in self._spec_by_id.values():
-            if spec.upstream_id in self._closed_ids:
+            if request_id in books.work.task_by_id:
                 continue
-            if spec.zone in self._closed_zones:
+            if claim.job.not_before > now:
+                waiting.append(request_id)
                 continue
-            place = ("", "")
-            if adjacency == Adjacency.ZONE:
-                place = (spec.zone, "")
-            if adjacency == Adjacency.RACK:
-                place = (spec.zone, spec.rack)
-            by_place.setdefault(place, []).append(spec)
-        return list(by_place.values())
-
-    def _choose_in(self, job: Job, group: list[UpstreamSpec]) -> tuple[str, ...] | None:
-        need = job.shape.member()
-        chosen: list[str] = []
-        for spec in group:
-            if spec.upstream_id in job.avoid:
+            books.work.drop_claim(request_id)
+            reason = Reason("claimed", claim.reason)
+            plan = Plan(claim.members, claim.kind, [], reason)
+            self._place(claim.job, plan, now, decisions)
+        self._ready_claims = waiting
+
+    def _expire_claims(self, now: float) -> None:
+        books = self._books
+        for request_id, claim in list(books.work.claim_by_id.items()):
+            if claim.placed_at + CLAIM_TIMEOUT_S > now:
                 continue
-            free = self._free_by_id[spec.upstream_id]
-            slots = self._slots_by_id[spec.upstream_id]
-            while slots > 0 and need.fits(free):
-                chosen.append(spec.upstream_id)
-                if len(chosen) == job.shape.gang:
-                    return tuple(chosen)
-                free = free.minus(need)
-                slots -= 1
-        return None
+            for victim_id in claim.victims:
+                victim = books.work.task_by_id.get(victim_id)
+                if victim is not None:
+                    books.work.set_stopping(victim, False)
+            books.give_up_claim(request_id, now)
+
+    # Waiting jobs.
+
+    def _wake(self, now: float) -> None:
+        books = self._books
+        books.queue.due(now)
+        if books.pace.warming() and now >= self._warmed_at + WARM_UP_TICK_S:
+            self._warmed_at = now
+            books.wake_all = True
+        if books.wake_all:
+            books.queue.wake(None)
+        elif books.reachable is not None:
+            books.queue.wake(books.reachable)
+        books.wake_all = False
+        books.reachable = None
+
+    def _try_jobs(self, now: float, decisions: list[Decision]) -> None:
+        """Try ready jobs, the accounts by turns."""
+        heads = []
+        for urgency, account in self._books.queue.accounts():
+            heads.append((urgency.tier, 0, urgency, account))
+        heapq.heapify(heads)
+        tries = 0
+        while heads and tries < MAX_TRIES and len(decisions) < MAX_DECISIONS:
+            _, tried, urgency, account = heapq.heappop(heads)
+            tries += 1
+            self._try(urgency.request_id, now, decisions)
+            head = self._books.queue.head(account)
+            if head is not None:
+                turn = (tried + 1) // TRIES_IN_A_ROW
+                heapq.heappush(heads, (head.tier, turn, head, account))
+
+    def _try(self, request_id: str, now: float, decisions: list[Decision]) -> None:
+        books = self._books
+        job = books.queue.job(request_id)
+        if books.fleet.node_by_id and not books.ever_fits(job.shape):
+            self._refuse(job, decisions)
+            return
+        problem = self._quota_problem(job)
+        if problem is not None:
+            books.queue.park(request_id, problem)
+            return
+        plan = self._planner.plan(job, now)
+        if plan is None:
+            plan = self._moves.plan(job, now, decisions)
+        if plan is None:
+            books.queue.park(request_id, self._why_not(job))
+            books.holds.consider(job, now)
+            return
+        self._carry_out(job, plan, now, decisions)
+
+    def _carry_out(
+        self, job: Job, plan: Plan, now: float, decisions: list[Decision]
+    ) -> None:
+        books = self._books
+        group = books.queue.group(job.request_id)
+        books.queue.remove(job.request_id)
+        if books.holds.drop(job.request_id):
+            books.wake_all = True
+        books.queue.wake_group(group)
+        if not plan.victims:
+            self._place(job, plan, now, decisions)
+            return
+        task = self._task(job, plan, now)
+        for victim in plan.victims:
+            task.victims.add(victim.job.request_id)
+            books.work.set_stopping(victim, True)
+            decisions.append(
+                Preempt(
+                    victim.job.request_id,
+                    victim.number,
+                    victim.job.checkpointable,
+                    job.request_id,
+                    Reason("preempted", f"preempted for request {job.request_id}"),
+                )
+            )
+        books.work.claim(task)
+
+    def _place(
+        self, job: Job, plan: Plan, now: float, decisions: list[Decision]
+    ) -> None:
+        books = self._books
+        task = self._task(job, plan, now)
+        books.work.start(task)
+        books.next_number_by_id[job.request_id] = task.number + 1
+        nodes = books.fleet.nodes(plan.members)
+        books.pace.placed({node.zone for node in nodes})
+        if plan.kind == Kind.BORROWER:
+            self._bring_home(task)
+        borrowed = task.kind == Kind.BORROWER
+        if task.kind == Kind.FIXED:
+            borrowed = not books.work.covered(task)
+        decisions.append(
+            Place(job.request_id, task.number, task.upstream_ids, borrowed, plan.reason)
+        )
+
+    def _bring_home(self, task: Task) -> None:
+        """Lay an unused block of the account under a task, if one fits."""
+        books = self._books
+        books.layout.pull(task.job.client_account, sorted(task.members))
+        books.settle_layout(0)
+
+    def _task(self, job: Job, plan: Plan, now: float) -> Task:
+        ids: list[str] = []
+        for node_id, count in plan.members.items():
+            ids += [node_id] * count
+        number = self._books.next_number_by_id.get(job.request_id, 1)
+        return Task(
+            job=job,
+            number=number,
+            upstream_ids=tuple(ids),
+            members=dict(plan.members),
+            kind=plan.kind,
+            urgent=self._books.urgent(job),
+            placed_at=now,
+            reason=plan.reason.text,
+        )
+
+    def _refuse(self, job: Job, decisions: list[Decision]) -> None:
+        self._books.queue.remove(job.request_id)
+        text = f"no registered upstreams can ever hold {_describe(job.shape)}"
+        reason = Reason("never_fits", text)
+        decisions.append(Refuse(job.request_id, int(ResultCode.NEVER_FITS), reason))
+
+    def _quota_problem(self, job: Job) -> Reason | None:
+        spec = self._books.account_by_name.get(job.client_account)
+        if spec is None or spec.max_accelerators is None:
+            return None
+        used = self._books.work.accelerators_by_account.get(job.client_account, 0)
+        wanted = job.shape.accelerators * job.shape.gang
+        if used + wanted <= spec.max_accelerators:
+            return None
+        text = (
+            f"client account {spec.name!r} uses {used} of its quota of "
+            f"{spec.max_accelerators} accelerators and this job needs {wanted}"
+        )
+        return Reason("quota", text)
+
+    def _why_not(self, job: Job) -> Reason:
+        if self._books.layout.pending and not stoppable(job):
+            return LAYOUT_PENDING
+        if not self._books.fleet.node_by_id:
+            return Reason("no_upstream", "no upstream is registered")
+        return NO_CAPACITY
+
+
+def _describe(shape: Shape) -> str:
+    text = (
+        f"{shape.gang} x {shape.accelerators} accelerators, {shape.cores} cores, "
+        f"{shape.memory_mb} MB"
+    )
+    if shape.gang > 1 and shape.adjacency != Adjacency.NONE:
+        text += f" in one {shape.adjacency.value}"
+    return text
--- /dev/null
+++ b/packages/scheduler/src/persimmonyard/scheduler/targets.py
@@ -0,0 +1,73 @@
+"""When a job has to start so that its class meets its target."""
+
+from typing import Protocol
+
+from persimmonyard.model import ClassSpec
+from persimmonyard.scheduler.events import Job
+
+__all__ = [
+    "DeclaredRunTimes",
+    "RunTimes",
+    "is_urgent",
+    "latest_start",
+]
+
+# The bound below which an answer counts as urgent: "fit checks must return
+# during the clinic visit", with a target of 15 minutes.
+URGENT_WITHIN_S = 900.0
+
+# Work of a class without a target is ordered as if it had this one, so that
+# it moves forward as it waits.
+DEFAULT_WITHIN_S = 86_400.0
+
+ORDER_QUANTILE = 0.9
+DAY_S = 86_400
+
+
+class RunTimes(Protocol):
+    """Predicts how long a job runs."""
+
+    def predict(self, job: Job, quantile: float) -> float:
+        """Return seconds that the run stays within with this probability."""
+
+
+class DeclaredRunTimes:
+    """Predict what the caller declared."""
+
+    def predict(self, job: Job, quantile: float) -> float:
+        """Return the declared run time in seconds."""
+        return job.declared_run_s
+
+
+def is_urgent(spec: ClassSpec | None) -> bool:
+    """Return whether work of a class may preempt to start at once."""
+    if spec is None:
+        return False
+    if spec.start_within_s is not None:
+        return True
+    return spec.within_s is not None and spec.within_s <= URGENT_WITHIN_S
+
+
+def latest_start(job: Job, spec: ClassSpec | None, run_times: RunTimes) -> float:
+    """Return the last time at which a start still meets the target."""
+    run_s = run_times.predict(job, ORDER_QUANTILE)
+    latest = job.submitted_at + DEFAULT_WITHIN_S - run_s
+    if spec is None:
+        return latest
+    if spec.within_s is not None:
+        latest = job.submitted_at + spec.within_s - run_s
+    elif spec.done_by is not None:
+        latest = _next_time_of_day(spec.done_by, job.submitted_at) - run_s
+    if spec.start_within_s is not None:
+        latest = min(latest, job.submitted_at + spec.start_within_s)
+    return latest
+
+
+def _next_time_of_day(time_of_day: str, after: float) -> float:
+    """Return the next ``HH:MM`` UTC after a time in seconds."""
+    hours, _, minutes = time_of_day.partition(":")
+    midnight = after - after % DAY_S
+    at = midnight + int(hours) * 3_600 + int(minutes) * 60
+    if at <= after:
+        at += DAY_S
+    return at
--- /dev/null
+++ b/packages/scheduler/src/persimmonyard/scheduler/vector.py
@@ -0,0 +1,74 @@
+"""Arithmetic on amounts of accelerators, cores, memory and slots."""
+
+from persimmonyard.model import Shape, UpstreamSpec
+
+__all__ = [
+    "ZERO",
+    "Vector",
+    "add",
+    "capacity_of",
+    "covers",
+    "highest",
+    "lowest",
+    "member_need",
+    "scale",
+    "subtract",
+    "times",
+]
+
+# Accelerators, cores, megabytes of memory, slots.  Plain tuples: the fleet
+# index compares several thousand of them in one decision.
+Vector = tuple[int, int, int, int]
+
+ZERO: Vector = (0, 0, 0, 0)
+
+
+def member_need(shape: Shape) -> Vector:
+    """Return what one member of ``shape`` takes, its slot included."""
+    return (shape.accelerators, shape.cores, shape.memory_mb, 1)
+
+
+def capacity_of(spec: UpstreamSpec) -> Vector:
+    """Return the whole capacity of an upstream."""
+    return (spec.accelerators, spec.cores, spec.memory_mb, spec.slots)
+
+
+def add(a: Vector, b: Vector) -> Vector:
+    """Return the sum of two amounts."""
+    return (a[0] + b[0], a[1] + b[1], a[2] + b[2], a[3] + b[3])
+
+
+def subtract(a: Vector, b: Vector) -> Vector:
+    """Return what is left of ``a``; parts may become negative."""
+    return (a[0] - b[0], a[1] - b[1], a[2] - b[2], a[3] - b[3])
+
+
+def scale(a: Vector, count: int) -> Vector:
+    """Return ``count`` times ``a``."""
+    return (a[0] * count, a[1] * count, a[2] * count, a[3] * count)
+
+
+def highest(a: Vector, b: Vector) -> Vector:
+    """Return the larger amount of each part."""
+    return (max(a[0], b[0]), max(a[1], b[1]), max(a[2], b[2]), max(a[3], b[3]))
+
+
+def lowest(a: Vector, b: Vector) -> Vector:
+    """Return the smaller amount of each part."""
+    return (min(a[0], b[0]), min(a[1], b[1]), min(a[2], b[2]), min(a[3], b[3]))
+
+
+def covers(a: Vector, b: Vector) -> bool:
+    """Return whether ``b`` fits into ``a``."""
+    return a[0] >= b[0] and a[1] >= b[1] and a[2] >= b[2] and a[3] >= b[3]
+
+
+def times(need: Vector, available: Vector) -> int:
+    """Return how many members of ``need`` fit into ``available``."""
+    count = available[3]
+    for part in range(3):
+        if available[part] < 0:
+            return 0
+        if need[part] > 0:
+            count = min(count, available[part] // need[part])
+    return max(count, 0)
