Feed attempts with incarnations and take back rejected placements

Cause: a rejected placement counted as an attempt, so the next one carried a number that the log refuses; removed zones stayed closed; members on an earlier start of an upstream kept its capacity. Change: jobs carry the number of recorded attempts, placed events carry incarnations, uncommitted placements and refusals wait again, ended requests feed the history of a new leader.

--- a/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from persimmonyard.daemon.control.ledger import Ledger
 from persimmonyard.daemon.control.sessions import SessionController
@@ -30,7 +31,6 @@
 )
 from persimmonyard.state import Change, ChangeKind
 from persimmonyard.state.commands import (
-    CommandResult,
     PlaceAttempt,
     RefuseRequest,
     SetUpstreamStatus,
@@ -71,8 +71,10 @@
         for upstream_id in machine.upstream_by_id:
             self._feed_upstream(upstream_id)
         for record in machine.request_by_id.values():
-            if not record.ended():
-                self._feed_request(record)
+            if record.ended():
+                self._feed_history(record)
+                continue
+            self._feed_request(record)
         self._wake.set()
 
     def follow(self) -> None:
@@ -108,6 +110,12 @@
                 continue
             self._told_zones[name] = zone.in_service
             self._observe(ZoneChanged(name, zone.in_service))
+        for name in list(self._told_zones):
+            if name in configuration.zone_by_name:
+                continue
+            # A zone that is not configured counts as in service.
+            del self._told_zones[name]
+            self._observe(ZoneChanged(name, True))
         self._feed_items(self._told_classes, configuration.class_by_name, ClassChanged)
         self._feed_items(
             self._told_accounts,
@@ -149,13 +157,22 @@
             for attempt in record.attempts:
                 self._told_by_attempt.pop((record.request_id, attempt.number), None)
 
+    def _feed_history(self, record: RequestRecord) -> None:
+        """Tell a new scheduler how the attempts of an ended request went."""
+        job = _job_of(record)
+        for attempt in record.attempts:
+            self._observe(replace(_ended_event(record, attempt), job=job))
+
     def _feed_attempt(self, record: RequestRecord, job: Job, attempt: Attempt) -> None:
         key = (record.request_id, attempt.number)
+        if attempt.state == AttemptState.ENDED and key not in self._told_by_attempt:
+            self._told_by_attempt[key] = {"placed", "running", "ended"}
+            self._observe(replace(_ended_event(record, attempt), job=job))
+            return
         told = self._told_by_attempt.setdefault(key, set())
         if "placed" not in told:
             told.add("placed")
-            ids = tuple(member.upstream_id for member in attempt.members)
-            self._observe(AttemptPlaced(job, attempt.number, ids, attempt.borrowed))
+            self._observe(_placed_event(job, attempt))
         if attempt.started_at is not None and "running" not in told:
             told.add("running")
             self._observe(
@@ -199,9 +216,7 @@
                         StopAttempt(request_id, number, checkpoint, reason.text)
                     )
                 case Refuse(request_id, code, reason):
-                    await self._ledger.commit(
-                        RefuseRequest(request_id, code, reason.text)
-                    )
+                    await self._refuse(request_id, code, reason.text)
                 case Quarantine():
                     await self._quarantine(decision)
         except PersimmonyardError as error:
@@ -209,24 +224,49 @@
 
     async def _place(self, decision: Place) -> None:
         entry_id = self._sessions.pick_entry()
-        result = CommandResult(code=1)
-        if entry_id is not None:
-            result = await self._ledger.commit(
-                PlaceAttempt(
-                    decision.request_id,
-                    decision.number,
-                    decision.upstream_ids,
-                    entry_id,
-                    decision.borrowed,
-                    decision.reason.text,
+        committed = False
+        try:
+            if entry_id is not None:
+                result = await self._ledger.commit(
+                    PlaceAttempt(
+                        decision.request_id,
+                        decision.number,
+                        decision.upstream_ids,
+                        entry_id,
+                        decision.borrowed,
+                        decision.reason.text,
+                    )
                 )
-            )
-        if result.code == 0:
+                committed = result.code == 0
+        finally:
+            if not committed:
+                self._take_back(decision)
+
+    def _take_back(self, decision: Place) -> None:
+        """Release what an uncommitted placement holds and wait again.
+
+        If the outcome is unknown and the placement is applied later, its
+        change tells the scheduler about the attempt.
+        """
+        known = (decision.request_id, decision.number) in self._told_by_attempt
+        if known:
             return
         self._observe(
             AttemptEnded(decision.request_id, decision.number, "never_began", 0.0)
         )
-        record = self._ledger.machine.request_by_id.get(decision.request_id)
+        self._wait_again(decision.request_id)
+
+    async def _refuse(self, request_id: str, code: int, text: str) -> None:
+        refused = False
+        try:
+            result = await self._ledger.commit(RefuseRequest(request_id, code, text))
+            refused = result.code == 0
+        finally:
+            if not refused:
+                self._wait_again(request_id)
+
+    def _wait_again(self, request_id: str) -> None:
+        record = self._ledger.machine.request_by_id.get(request_id)
         if record is not None and record.state == RequestState.ACCEPTED:
             self._observe(JobWaiting(_job_of(record, time.time() + REJECTED_BACKOFF_S)))
 
@@ -261,6 +301,18 @@
         submitted_at=record.submitted_at,
         not_before=max(record.not_before, not_before),
         avoid=frozenset(avoid),
+        attempts=len(record.attempts),
+    )
+
+
+def _placed_event(job: Job, attempt: Attempt) -> AttemptPlaced:
+    return AttemptPlaced(
+        job,
+        attempt.number,
+        tuple(member.upstream_id for member in attempt.members),
+        attempt.borrowed,
+        tuple(member.incarnation for member in attempt.members),
+        attempt.placed_at,
     )
 
 
--- a/packages/scheduler/src/persimmonyard/scheduler/events.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/events.py
@@ -139,7 +139,8 @@
 
     ``outcome`` is ``finished``, ``never_began``, ``failed``, ``lost``,
     ``stopped`` or ``checkpointed``; ``failed_on`` names the upstreams of the
-    members at fault.
+    members at fault.  ``job`` is given for attempts that ended before this
+    scheduler existed: they only add to its history.
     """
 
     request_id: str
@@ -147,6 +148,7 @@
     outcome: str
     run_s: float
     failed_on: tuple[str, ...] = ()
+    job: Job | None = None
 
 
 Event = (
