Keep recent run times in flat arrays

Cause: 4,000 keys with 64 runs each took 37.7 MB, mostly tuples in deques. Change: the ring of a key is a pair of arrays with the position of the oldest. Seen to fail: no ring, a position that stays, the wrong run removed.

--- a/packages/scheduler/src/persimmonyard/scheduler/prediction.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/prediction.py
@@ -3,12 +3,12 @@
 import math
 from array import array
 from bisect import bisect_left, insort
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Sequence
 
 __all__ = ["RunTimePredictor"]
 
-RING_SIZE = 64  # 2.2 KB for each key; enough for a 0.98 quantile
+RING_SIZE = 64  # 2.7 KB for each key; enough for a 0.98 quantile
 MAX_KEYS = 8_192  # 410 client accounts with 20 classes each
 FULL_HISTORY = 16  # from here on a key's own runs decide alone
 PSEUDO_QUANTILES = (0.125, 0.375, 0.625, 0.875)
@@ -94,23 +94,33 @@
     """The last runs of one key, as logarithms of seconds and of ratios."""
 
     def __init__(self) -> None:
-        self._recent: deque[tuple[float, float]] = deque()
+        self._oldest = 0
+        self._runs = array("d")
+        self._ratios = array("d")
         self._sorted_runs = array("d")
         self._sorted_ratios = array("d")
 
     def is_full(self) -> bool:
-        return len(self._recent) >= FULL_HISTORY
+        return len(self._runs) >= FULL_HISTORY
 
     def add(self, declared: float, run: float) -> None:
-        if len(self._recent) == RING_SIZE:
-            old_run, old_ratio = self._recent.popleft()
-            del self._sorted_runs[bisect_left(self._sorted_runs, old_run)]
-            del self._sorted_ratios[bisect_left(self._sorted_ratios, old_ratio)]
         ratio = run - declared
-        self._recent.append((run, ratio))
+        if len(self._runs) < RING_SIZE:
+            self._runs.append(run)
+            self._ratios.append(ratio)
+        else:
+            self._replace_oldest(run, ratio)
         insort(self._sorted_runs, run)
         insort(self._sorted_ratios, ratio)
 
+    def _replace_oldest(self, run: float, ratio: float) -> None:
+        oldest = self._oldest
+        del self._sorted_runs[bisect_left(self._sorted_runs, self._runs[oldest])]
+        del self._sorted_ratios[bisect_left(self._sorted_ratios, self._ratios[oldest])]
+        self._runs[oldest] = run
+        self._ratios[oldest] = ratio
+        self._oldest = (oldest + 1) % RING_SIZE
+
     def quantile(
         self, declared: float, quantile: float, prior: Sequence[float]
     ) -> float:
