--- /dev/null
+++ b/test/scheduler/naive.py
@@ -0,0 +1,89 @@
+"""An exhaustive scheduler for small fleets, as an oracle for tests."""
+
+from itertools import combinations_with_replacement
+
+from persimmonyard.model import Adjacency, Shape
+
+__all__ = ["NaiveScheduler"]
+
+
+class NaiveScheduler:
+    """Answer by trying every placement on up to about six upstreams.
+
+    ``occupy`` and ``release`` change what is free.  All upstreams given are
+    in service.
+    """
+
+    def __init__(self, upstreams):
+        self.spec_by_id = {spec.upstream_id: spec for spec in upstreams}
+        self.free_by_id = {spec.upstream_id: spec.capacity() for spec in upstreams}
+        self.slots_by_id = {spec.upstream_id: spec.slots for spec in upstreams}
+
+    def occupy(self, upstream_ids, shape):
+        """Take one member of ``shape`` on each of the upstreams."""
+        for upstream_id in upstream_ids:
+            free = self.free_by_id[upstream_id]
+            self.free_by_id[upstream_id] = free.minus(shape.member())
+            self.slots_by_id[upstream_id] -= 1
+
+    def release(self, upstream_ids, shape):
+        """Give back what ``occupy`` took."""
+        for upstream_id in upstream_ids:
+            free = self.free_by_id[upstream_id]
+            self.free_by_id[upstream_id] = free.plus(shape.member())
+            self.slots_by_id[upstream_id] += 1
+
+    def is_valid(self, upstream_ids, shape):
+        """Return whether these members fit now and are adjacent as asked."""
+        if len(upstream_ids) != shape.gang or not self._adjacent(upstream_ids, shape):
+            return False
+        self.occupy(upstream_ids, shape)
+        fits = all(
+            min(self.free_by_id[upstream_id]) >= 0
+            and self.slots_by_id[upstream_id] >= 0
+            for upstream_id in upstream_ids
+        )
+        self.release(upstream_ids, shape)
+        return fits
+
+    def placements(self, shape, avoid=frozenset()):
+        """Yield every valid placement as a tuple of upstream identifiers."""
+        allowed = sorted(set(self.spec_by_id) - avoid)
+        for upstream_ids in combinations_with_replacement(allowed, shape.gang):
+            if self.is_valid(upstream_ids, shape):
+                yield upstream_ids
+
+    def can_place(self, job):
+        """Return whether a job fits into what is free."""
+        return any(True for _ in self.placements(job.shape, job.avoid))
+
+    def guarantees_feasible(self, accounts):
+        """Return whether all guaranteed blocks fit next to each other.
+
+        The fleet counts as empty, whatever ``occupy`` took.
+        """
+        blocks: list[Shape] = []
+        for account in accounts:
+            blocks.extend(account.guarantee)
+        return NaiveScheduler(self.spec_by_id.values())._all_fit(blocks)
+
+    def _all_fit(self, blocks):
+        if not blocks:
+            return True
+        for upstream_ids in self.placements(blocks[0]):
+            self.occupy(upstream_ids, blocks[0])
+            fits = self._all_fit(blocks[1:])
+            self.release(upstream_ids, blocks[0])
+            if fits:
+                return True
+        return False
+
+    def _adjacent(self, upstream_ids, shape):
+        specs = [self.spec_by_id[upstream_id] for upstream_id in upstream_ids]
+        match shape.adjacency:
+            case Adjacency.RACK:
+                return len({(spec.zone, spec.rack) for spec in specs}) == 1
+            case Adjacency.ZONE:
+                return len({spec.zone for spec in specs}) == 1
+            case _:
+                return True
--- /dev/null
+++ b/test/scheduler/test_fragmentation.py
@@ -0,0 +1,164 @@
+"""Tests of persimmonyard.scheduler.fragmentation."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from persimmonyard.model import (
+    Adjacency,
+    ClientAccountSpec,
+    Resources,
+    Shape,
+    UpstreamSpec,
+)
+from persimmonyard.scheduler import Job
+from persimmonyard.scheduler.fragmentation import (
+    Demand,
+    FreeCapacity,
+    stranded_accelerators,
+)
+from test.scheduler.naive import NaiveScheduler
+
+SHAPES = st.builds(
+    Shape,
+    st.integers(1, 3),
+    st.integers(0, 3),
+    st.integers(1, 3),
+    st.just(1),
+    st.sampled_from(Adjacency),
+)
+INSTANCES = st.builds(
+    FreeCapacity,
+    st.sampled_from("yz"),
+    st.sampled_from("ab"),
+    st.builds(Resources, st.integers(0, 3), st.integers(0, 6), st.just(9)),
+    st.integers(0, 3),
+)
+
+
+def instance(accelerators, rack="a", zone="z", cores=64, slots=8):
+    return FreeCapacity(zone, rack, Resources(accelerators, cores, 1_000), slots)
+
+
+def stranded(instances, *shapes):
+    return stranded_accelerators(instances, [Demand(shape) for shape in shapes])
+
+
+def specs_of(instances):
+    specs = []
+    for number, (zone, rack, free, slots) in enumerate(instances):
+        specs.append(
+            UpstreamSpec(
+                f"u-{number}", "i", zone, rack, "", *free, slots=slots, connections=1
+            )
+        )
+    return specs
+
+
+def job_of(shape):
+    return Job("r", "a", "c", shape, 1.0, True, True, 0.0)
+
+
+class StrandedAcceleratorsTests(unittest.TestCase):
+    def test_pieces_smaller_than_the_task_are_stranded(self):
+        """Free accelerators that no task can use together are counted."""
+        result = stranded([instance(2), instance(2)], Shape(1, 3))
+        self.assertEqual(result, (4, 4.0))
+
+    def test_remainder_on_an_instance_is_stranded(self):
+        """What is left beside the tasks that fit is counted."""
+        self.assertEqual(stranded([instance(8)], Shape(1, 3)), (8, 2.0))
+
+    def test_accelerators_without_processors_are_stranded(self):
+        """An instance whose cores are used up offers no accelerators."""
+        self.assertEqual(stranded([instance(8, cores=1)], Shape(1, 1, 2)), (8, 8.0))
+
+    def test_accelerators_without_slots_are_stranded(self):
+        """An instance takes no more tasks than it has slots."""
+        self.assertEqual(stranded([instance(8, slots=1)], Shape(1, 2)), (8, 6.0))
+
+    def test_gang_needs_its_rack(self):
+        """Capacity spread over racks is stranded for a gang of one rack."""
+        spread = [instance(4, "a"), instance(4, "b")]
+        together = [instance(4, "a"), instance(4, "a")]
+        gang = Shape(2, 4, adjacency=Adjacency.RACK)
+        self.assertEqual(stranded(spread, gang).stranded, 8.0)
+        self.assertEqual(stranded(together, gang).stranded, 0.0)
+
+    def test_gang_needs_its_zone(self):
+        """Racks of one zone add up for a gang of one zone, zones do not."""
+        gang = Shape(2, 4, adjacency=Adjacency.ZONE)
+        racks = [instance(4, "a"), instance(4, "b")]
+        zones = [instance(4, zone="y"), instance(4, zone="z")]
+        self.assertEqual(stranded(racks, gang).stranded, 0.0)
+        self.assertEqual(stranded(zones, gang).stranded, 8.0)
+
+    def test_equal_rack_names_in_two_zones_are_two_racks(self):
+        """Racks are told apart by zone and name."""
+        zones = [instance(4, zone="y"), instance(4, zone="z")]
+        gang = Shape(2, 4, adjacency=Adjacency.RACK)
+        self.assertEqual(stranded(zones, gang).stranded, 8.0)
+
+    def test_demand_is_weighted_by_accelerators(self):
+        """A job of eight counts eight times as much as a job of one."""
+        result = stranded([instance(4)], Shape(1, 1), Shape(1, 8))
+        self.assertAlmostEqual(result.stranded, 4 * 8 / 9)
+        self.assertAlmostEqual(result.share(), 8 / 9)
+
+    def test_no_demand_strands_nothing(self):
+        """Without accelerators asked for, the result is zero, not an error."""
+        self.assertEqual(stranded([instance(4)], Shape(1, 0)), (4, 0.0))
+        self.assertEqual(stranded([], Shape(1, 1)).share(), 0.0)
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(st.lists(INSTANCES, max_size=4), SHAPES.filter(lambda s: s.accelerators))
+    def test_all_is_stranded_exactly_when_nothing_fits(self, instances, shape):
+        """The measure agrees with exhaustive placement on small fleets."""
+        result = stranded(instances, shape)
+        fits = NaiveScheduler(specs_of(instances)).can_place(job_of(shape))
+        self.assertEqual(result.stranded < result.free, fits)
+        self.assertLessEqual(0.0, result.stranded)
+
+
+class NaiveSchedulerTests(unittest.TestCase):
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.lists(INSTANCES, max_size=4), st.lists(SHAPES, max_size=3))
+    def test_guarantees_do_not_depend_on_order(self, instances, blocks):
+        """The search is exhaustive: no order of blocks changes the answer."""
+        naive = NaiveScheduler(specs_of(instances))
+        one = [ClientAccountSpec("a", guarantee=tuple(blocks))]
+        many = [ClientAccountSpec(str(b), guarantee=(b,)) for b in reversed(blocks)]
+        self.assertEqual(
+            naive.guarantees_feasible(one), naive.guarantees_feasible(many)
+        )
+
+    def test_blocks_of_all_accounts_share_the_fleet(self):
+        """Two blocks that fit alone do not fit together on one instance."""
+        naive = NaiveScheduler(specs_of([instance(4)]))
+        account = ClientAccountSpec("a", guarantee=(Shape(1, 3),))
+        self.assertTrue(naive.guarantees_feasible([account]))
+        self.assertFalse(naive.guarantees_feasible([account, account]))
+
+    def test_a_good_layout_is_found_behind_a_bad_one(self):
+        """The first block must leave the large instance to the second."""
+        naive = NaiveScheduler(specs_of([instance(4), instance(2)]))
+        account = ClientAccountSpec("a", guarantee=(Shape(1, 2), Shape(1, 4)))
+        self.assertTrue(naive.guarantees_feasible([account]))
+
+    def test_occupied_capacity_is_not_free(self):
+        """A job does not fit where another one runs, and does afterwards."""
+        naive = NaiveScheduler(specs_of([instance(4)]))
+        naive.occupy(("u-0",), Shape(1, 3))
+        self.assertFalse(naive.can_place(job_of(Shape(1, 2))))
+        naive.release(("u-0",), Shape(1, 3))
+        self.assertTrue(naive.can_place(job_of(Shape(1, 2))))
+
+    def test_adjacency_is_kept(self):
+        """A gang of one rack or zone is never spread over two."""
+        racks = NaiveScheduler(specs_of([instance(4, "a"), instance(4, "b")]))
+        zones = NaiveScheduler(specs_of([instance(4, zone="y"), instance(4)]))
+        self.assertFalse(racks.can_place(job_of(Shape(2, 4, 1, 1, Adjacency.RACK))))
+        self.assertTrue(racks.can_place(job_of(Shape(2, 4, 1, 1, Adjacency.ZONE))))
+        self.assertFalse(zones.can_place(job_of(Shape(2, 4, 1, 1, Adjacency.ZONE))))
+        self.assertTrue(zones.can_place(job_of(Shape(2, 4, 1, 1, Adjacency.NONE))))
