--- a/packages/scheduler/src/persimmonyard/scheduler/fragmentation.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/fragmentation.py
@@ -19,7 +19,7 @@
 
 
 class Demand(NamedTuple):
-    """A shape of the demand mix and its weight, for example a count of jobs."""
+    """A shape of the demand mix and its weight, such as a count of jobs."""
 
     shape: Shape
     weight: float = 1.0
