--- a/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -4,8 +4,8 @@
 import time
 from dataclasses import replace
 
+from persimmonyard.daemon.control.assignments import AssignmentController
 from persimmonyard.daemon.control.ledger import Ledger
-from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.model import PersimmonyardError
 from persimmonyard.scheduler import (
@@ -54,9 +54,9 @@
 class SchedulingController:
     """Run the scheduler while this replica leads."""
 
-    def __init__(self, ledger: Ledger, sessions: SessionController):
+    def __init__(self, ledger: Ledger, assignments: AssignmentController):
         self._ledger = ledger
-        self._sessions = sessions
+        self._assignments = assignments
         self._logger = get_logger("scheduling")
         self._wake = asyncio.Event()
         self.follow()
@@ -138,8 +138,10 @@
     def _feed_upstream(self, upstream_id: str) -> None:
         known = self._ledger.machine.upstream_by_id[upstream_id]
         match known.status:
-            case UpstreamStatus.UP | UpstreamStatus.QUARANTINED:
+            case UpstreamStatus.UP:
                 self._observe(UpstreamUp(known.spec))
+            case UpstreamStatus.QUARANTINED:
+                self._observe(UpstreamUp(known.spec, known.until))
             case UpstreamStatus.LEAVING:
                 self._observe(UpstreamUp(known.spec))
                 self._observe(UpstreamLeaving(upstream_id))
@@ -189,9 +191,9 @@
         while True:
             await self._wait()
             self._wake.clear()
-            if not self._ledger.leading:
+            if not self._ledger.leads():
                 continue
-            if self._sessions.pick_entry() is None:
+            if self._assignments.pick_entry() is None:
                 continue
             decisions = self.scheduler.decide(time.time())
             await asyncio.gather(*(self._carry_out(one) for one in decisions))
@@ -223,7 +225,7 @@
             self._logger.warning("decision not committed", error=str(error))
 
     async def _place(self, decision: Place) -> None:
-        entry_id = self._sessions.pick_entry()
+        entry_id = self._assignments.pick_entry()
         committed = False
         try:
             if entry_id is not None:
@@ -272,11 +274,16 @@
 
     async def _quarantine(self, decision: Quarantine) -> None:
         known = self._ledger.machine.upstream_by_id[decision.upstream_id]
+        if known.status in (UpstreamStatus.LEAVING, UpstreamStatus.LOST):
+            return
+        status = UpstreamStatus.UP
+        if decision.until > time.time():
+            status = UpstreamStatus.QUARANTINED
         await self._ledger.commit(
             SetUpstreamStatus(
                 decision.upstream_id,
                 known.spec.incarnation,
-                UpstreamStatus.QUARANTINED,
+                status,
                 decision.reason.text,
                 decision.until,
             )
--- a/packages/scheduler/src/persimmonyard/scheduler/books.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -6,8 +6,15 @@
 from persimmonyard.scheduler.holds import Holds
 from persimmonyard.scheduler.layout import Layout
 from persimmonyard.scheduler.placement import can_ever_fit
+from persimmonyard.scheduler.prediction import RunTimePredictor
+from persimmonyard.scheduler.probation import Probation
 from persimmonyard.scheduler.queue import WaitingQueue
-from persimmonyard.scheduler.targets import RunTimes, is_urgent, latest_start
+from persimmonyard.scheduler.targets import (
+    HistoryRunTimes,
+    RunTimes,
+    is_urgent,
+    latest_start,
+)
 from persimmonyard.scheduler.vector import ZERO, Vector, add, highest
 from persimmonyard.scheduler.work import Kind, Work
 from persimmonyard.scheduler.zones import ZonePace
@@ -18,13 +25,15 @@
 class Books:
     """The fleet, running and waiting work, guarantees and configuration."""
 
-    def __init__(self, run_times: RunTimes) -> None:
-        self.run_times = run_times
+    def __init__(self, run_times: RunTimes | None) -> None:
+        self.predictor = RunTimePredictor()
+        self.run_times = run_times or HistoryRunTimes(self.predictor)
         self.fleet = Fleet()
         self.work = Work(self.fleet)
         self.layout = Layout(self.fleet)
         self.queue = WaitingQueue()
-        self.holds = Holds(self.fleet, self.work, run_times)
+        self.holds = Holds(self.fleet, self.work, self.run_times)
+        self.probation = Probation(self.fleet)
         self.pace = ZonePace()
         self.class_by_name: dict[str, ClassSpec] = {}
         self.account_by_name: dict[str, ClientAccountSpec] = {}
--- a/packages/scheduler/src/persimmonyard/scheduler/events.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/events.py
@@ -51,9 +51,13 @@
 
 @dataclass(frozen=True)
 class UpstreamUp:
-    """An upstream takes work, or announced new figures."""
+    """An upstream takes work, or announced new figures.
+
+    ``quarantined_until`` tells a new scheduler of a quarantine in force.
+    """
 
     spec: UpstreamSpec
+    quarantined_until: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/scheduler/src/persimmonyard/scheduler/facts.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/facts.py
@@ -34,8 +34,11 @@
     def observe(self, event: Event, now: float) -> None:
         """Apply one event."""
         match event:
-            case UpstreamUp(spec):
+            case UpstreamUp(spec, quarantined_until):
                 self._upstream_up(spec, now)
+                node = self._books.fleet.node_by_id[spec.upstream_id]
+                if self._books.probation.restore(node, quarantined_until, now):
+                    self._withdraw(node, now)
             case UpstreamLeaving(upstream_id):
                 self._upstream_leaving(upstream_id, now)
             case UpstreamDown(upstream_id):
@@ -86,6 +89,8 @@
         self._books.work.detach(old)
         self._books.fleet.forget(old)
         node = Node(spec)
+        node.quarantined = old.quarantined
+        node.probing = old.probing
         self._books.fleet.add_node(node)
         return node
 
@@ -251,10 +256,32 @@
 
     def _attempt_ended(self, event: AttemptEnded, now: float) -> None:
         task = self._books.work.task_by_id.get(event.request_id)
+        if event.job is not None:
+            self._note_outcome(event.job, event, (), now)
+            return
         if task is None or task.number != event.number:
             return
+        self._note_outcome(task.job, event, task.upstream_ids, now)
         self._end(event.request_id, now)
 
+    def _note_outcome(
+        self, job: Job, event: AttemptEnded, ids: tuple[str, ...], now: float
+    ) -> None:
+        books = self._books
+        match event.outcome:
+            case "finished":
+                books.predictor.record(
+                    job.class_name, job.client_account, job.declared_run_s, event.run_s
+                )
+                for node_id in sorted(set(ids)):
+                    if books.probation.succeeded(node_id, job, now):
+                        books.layout.capacity_grew()
+                        books.note_freed(books.fleet.node_by_id[node_id])
+            case "failed":
+                for node_id in event.failed_on:
+                    if books.probation.failed(node_id, job, now):
+                        self._withdraw(books.fleet.node_by_id[node_id], now)
+
     def _end(self, request_id: str, now: float) -> None:
         books = self._books
         task = books.work.end(request_id)
--- a/packages/scheduler/src/persimmonyard/scheduler/fleet.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/fleet.py
@@ -49,6 +49,7 @@
         "need",
         "node_id",
         "pinned_by_account",
+        "probing",
         "quarantined",
         "rack",
         "task_ids",
@@ -73,6 +74,7 @@
         self.leaving = False
         self.lost = False
         self.quarantined = False
+        self.probing = False
 
     def open(self) -> Vector:
         """Return the capacity that no guarantee and no pinned work needs."""
@@ -143,6 +145,10 @@
             return False
         return node.zone not in self.closed_zones
 
+    def sound(self, node: Node) -> bool:
+        """Return whether guarantees may be laid on a node."""
+        return self.usable(node) and not node.probing
+
     def refresh(self, node: Node) -> None:
         """Bring the indexes up to date with one node."""
         if self.node_by_id.get(node.node_id) is not node:
@@ -151,6 +157,9 @@
             self.forget(node)
             return
         indexes = self._index_by_zone[node.zone]
+        if node.probing:
+            self.forget(node)
+            return
         unneeded = node.open()
         node_id, rack = node.node_id, node.rack
         indexes[View.FREE].put(node_id, rack, node.free)
--- a/packages/scheduler/src/persimmonyard/scheduler/layout.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/layout.py
@@ -135,7 +135,7 @@
         ids = self.fleet.pinned_ids_by_account.get(account, set())
         uncovered = []
         for node in self.fleet.nodes(sorted(ids)):
-            if self.fleet.usable(node) and times(need, _uncovered(node, account)):
+            if self.fleet.sound(node) and times(need, _uncovered(node, account)):
                 uncovered.append(node)
         members = search_nodes(uncovered, shape, room)
         if members is not None:
@@ -150,9 +150,7 @@
             for rack in sorted({self.fleet.node_by_id[one].rack for one in ids}):
                 if rack[0] == zone:
                     near.update(index.ids_in_rack(rack))
-        nodes = [
-            one for one in self.fleet.nodes(sorted(near)) if self.fleet.usable(one)
-        ]
+        nodes = [one for one in self.fleet.nodes(sorted(near)) if self.fleet.sound(one)]
         return search_nodes(nodes, shape, room)
 
     def _put(self, block: Block, members: Members) -> None:
--- a/packages/scheduler/src/persimmonyard/scheduler/layout_search.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/layout_search.py
@@ -49,7 +49,7 @@
     At most ``steps`` partial layouts are looked at.  All cells are laid anew
     around the work that cannot be stopped.
     """
-    nodes = [node for node in fleet.node_by_id.values() if fleet.usable(node)]
+    nodes = [node for node in fleet.node_by_id.values() if fleet.sound(node)]
     if len(nodes) > MAX_NODES:
         return None
     nodes.sort(key=lambda node: (node.capacity[0], node.node_id))
--- a/packages/scheduler/src/persimmonyard/scheduler/planner.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/planner.py
@@ -34,6 +34,7 @@
 RECLAIMED = Reason("reclaimed", "on guaranteed capacity taken back from borrowers")
 HELD = Reason("held", "on capacity that was held back for it")
 URGENT = Reason("urgent", "urgent work that takes the place of borrowers")
+PROBE = Reason("probe", "probes an upstream whose quarantine has ended")
 NO_CAPACITY = Reason("no_capacity", "not enough free capacity now")
 LAYOUT_PENDING = Reason("layout", "waits until guarantees are laid out anew")
 
@@ -59,7 +60,7 @@
         Without ``preempt`` only unused capacity counts.
         """
         search = _Search(self._books, job, now)
-        steps = [search.at_home, search.on_surplus]
+        steps = [search.as_probe, search.at_home, search.on_surplus]
         if preempt:
             steps.append(search.at_home_reclaimed)
         if search.stoppable:
@@ -98,6 +99,28 @@
         if cold:
             self._zones = frozenset(self._fleet.ids_by_zone) - cold
 
+    def as_probe(self) -> Plan | None:
+        """Try an upstream whose quarantine has ended."""
+        probing = self._books.probation.probing_ids
+        job = self._job
+        if not probing or not job.idempotent or job.shape.gang > 1:
+            return None
+        if self._books.urgent(job):
+            return None
+
+        def room(node: Node) -> int:
+            if node.node_id in self._avoid or not self._fleet.usable(node):
+                return 0
+            if node.free != node.capacity:
+                return 0
+            return times(self._need, node.free)
+
+        nodes = self._fleet.nodes(sorted(probing))
+        members = search_nodes(nodes, job.shape, room, self._zones)
+        if members is None:
+            return None
+        return Plan(members, Kind.BORROWER, [], PROBE)
+
     def at_home(self) -> Plan | None:
         """Use unused cells of the job's own account."""
 
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -17,7 +17,7 @@
 from persimmonyard.scheduler.facts import Facts
 from persimmonyard.scheduler.moves import Moves
 from persimmonyard.scheduler.planner import LAYOUT_PENDING, NO_CAPACITY, Plan, Planner
-from persimmonyard.scheduler.targets import DeclaredRunTimes, RunTimes
+from persimmonyard.scheduler.targets import RunTimes
 from persimmonyard.scheduler.vector import member_need, times
 from persimmonyard.scheduler.work import Kind, Task, stoppable
 
@@ -48,7 +48,7 @@
     """
 
     def __init__(self, run_times: RunTimes | None = None) -> None:
-        self._books = Books(run_times or DeclaredRunTimes())
+        self._books = Books(run_times)
         self._facts = Facts(self._books)
         self._planner = Planner(self._books)
         self._evacuation = Evacuation(self._books, self._planner)
@@ -68,6 +68,8 @@
         """
         self._decided_at = now
         decisions: list[Decision] = []
+        if self._books.probation.run(now, decisions):
+            self._books.layout.capacity_grew()
         self._books.settle_layout(MAX_BLOCKS_LAID)
         self._expire_claims(now)
         self._place_claims(now, decisions)
@@ -91,6 +93,9 @@
             times_due.append(claim.placed_at + CLAIM_TIMEOUT_S)
         if books.pace.warming() and len(books.queue):
             times_due.append(self._warmed_at + WARM_UP_TICK_S)
+        probe = books.probation.next_wakeup()
+        if probe is not None:
+            times_due.append(probe)
         evacuation = self._evacuation.next_wakeup(self._decided_at)
         if evacuation is not None:
             times_due.append(evacuation)
--- a/packages/scheduler/src/persimmonyard/scheduler/targets.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/targets.py
@@ -4,9 +4,11 @@
 
 from persimmonyard.model import ClassSpec
 from persimmonyard.scheduler.events import Job
+from persimmonyard.scheduler.prediction import RunTimePredictor
 
 __all__ = [
     "DeclaredRunTimes",
+    "HistoryRunTimes",
     "RunTimes",
     "is_urgent",
     "latest_start",
@@ -39,6 +41,19 @@
         return job.declared_run_s
 
 
+class HistoryRunTimes:
+    """Predict from finished runs of the class and client account."""
+
+    def __init__(self, predictor: RunTimePredictor) -> None:
+        self._predictor = predictor
+
+    def predict(self, job: Job, quantile: float) -> float:
+        """Return a quantile of the run time in seconds."""
+        return self._predictor.predict(
+            job.class_name, job.client_account, job.declared_run_s, quantile
+        )
+
+
 def is_urgent(spec: ClassSpec | None) -> bool:
     """Return whether work of a class may preempt to start at once."""
     if spec is None:
