--- a/packages/scheduler/src/persimmonyard/scheduler/decisions.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/decisions.py
@@ -54,7 +54,10 @@
 
 @dataclass(frozen=True)
 class Quarantine:
-    """Keep an upstream out of use until the given time."""
+    """Keep an upstream out of use until the given time.
+
+    A time that is past ends the quarantine.
+    """
 
     upstream_id: str
     until: float
--- a/packages/standin/src/persimmonyard/standin/demo.py
+++ b/packages/standin/src/persimmonyard/standin/demo.py
@@ -26,7 +26,7 @@
 
     def __init__(self, folder: Path):
         self._folder = folder
-        self._deployment = Deployment(folder, controls=1, entries=2)
+        self._deployment = Deployment(folder, controls=3, entries=2)
 
     def run(self) -> None:
         """Run all steps and stop the deployment."""
