Test partitions between processes, and reserve the ports of a deployment

Cause: leases and leadership were proved on fakes only; a free port could be handed out again before its process bound it.

--- a/packages/standin/src/persimmonyard/standin/deployment.py
+++ b/packages/standin/src/persimmonyard/standin/deployment.py
@@ -12,23 +12,32 @@
 
 import httpx
 
-__all__ = ["Deployment", "free_port"]
+from persimmonyard.standin.relay import Relay
+
+__all__ = ["Deployment", "reserve_port"]
 
 START_DEADLINE_S = 30.0
 STOP_DEADLINE_S = 40.0
 
 
-def free_port() -> int:
-    """Return a loopback port that is free at the moment."""
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        port: int = probe.getsockname()[1]
-        return port
+def reserve_port() -> socket.socket:
+    """Return a socket that keeps a loopback port from being handed out.
+
+    The socket does not listen, so a server may still bind the port.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    return holder
 
 
 @dataclass
 class Deployment:
     """Processes of one deployment, by name.
 
+    With ``relayed``, connections between the processes run through relays
+    that can be cut.
+
     Example: ``Deployment(folder, controls=3, entries=2).start()``.
     """
 
@@ -40,23 +49,64 @@
     process_by_name: dict[str, subprocess.Popen] = field(default_factory=dict)
     http_port_by_name: dict[str, int] = field(default_factory=dict)
     grpc_port_by_name: dict[str, int] = field(default_factory=dict)
+    port_holders: list[socket.socket] = field(default_factory=list)
+    relayed: bool = False
+    relay_by_pair: dict[tuple[str, str], Relay] = field(default_factory=dict)
 
     def start(self) -> None:
         """Write settings and start all processes of the system."""
         self.folder.mkdir(parents=True, exist_ok=True)
         control_names = [f"control-{n + 1}" for n in range(self.controls)]
         for name in control_names:
-            self.grpc_port_by_name[name] = free_port()
+            self.grpc_port_by_name[name] = self._reserve_port()
         entry_names = [f"entry-{n + 1}" for n in range(self.entries)]
         for name in [*control_names, *entry_names]:
-            self.http_port_by_name[name] = free_port()
+            self.http_port_by_name[name] = self._reserve_port()
             self._write_settings(name)
-            if name in control_names:
-                self._initialize(name)
+        self._initialize(control_names)
+        for name in [*control_names, *entry_names]:
             self.start_process(name)
         for name in entry_names:
             self.wait_ready(name)
 
+    def _reserve_port(self) -> int:
+        holder = reserve_port()
+        self.port_holders.append(holder)
+        port: int = holder.getsockname()[1]
+        return port
+
+    def _port_seen_by(self, name: str, replica: str) -> int:
+        """Return the gRPC port under which a process reaches a replica."""
+        if not self.relayed or name == replica:
+            return self.grpc_port_by_name[replica]
+        relay = Relay(self.grpc_port_by_name[replica])
+        self.relay_by_pair[(name, replica)] = relay
+        return relay.port
+
+    def isolate(self, name: str, others: list[str]) -> None:
+        """Cut every relayed connection between a process and others."""
+        for pair, relay in self.relay_by_pair.items():
+            if name in pair and (pair[0] in others or pair[1] in others):
+                relay.cut()
+
+    def reconnect(self) -> None:
+        """Restore all relayed connections."""
+        for relay in self.relay_by_pair.values():
+            relay.restore()
+
+    def leader(self) -> str:
+        """Return the control process that leads, or an empty name."""
+        for name in self.grpc_port_by_name:
+            if name not in self.process_by_name:
+                continue
+            url = f"http://127.0.0.1:{self.http_port_by_name[name]}/health"
+            try:
+                if httpx.get(url, trust_env=False, timeout=2.0).json()["leading"]:
+                    return name
+            except (httpx.HTTPError, ValueError, KeyError):
+                continue
+        return ""
+
     def entry_url(self, number: int) -> str:
         """Return the base URL of an entry, counted from 1."""
         return f"http://127.0.0.1:{self.http_port_by_name[f'entry-{number}']}"
@@ -76,11 +126,18 @@
         ]
         self._spawn(name, command)
 
-    def _initialize(self, name: str) -> None:
-        command = [sys.executable, "-m", "persimmonyard.daemon.main", "init"]
-        command += ["--settings", str(self.folder / f"{name}.toml")]
-        if not (self.folder / name).exists():
-            subprocess.run(command, check=True)
+    def _initialize(self, names: list[str]) -> None:
+        """Set up the data folders of new control processes, all at once."""
+        processes = []
+        for name in names:
+            if (self.folder / name).exists():
+                continue
+            command = [sys.executable, "-m", "persimmonyard.daemon.main", "init"]
+            command += ["--settings", str(self.folder / f"{name}.toml")]
+            processes.append(subprocess.Popen(command))
+        for process in processes:
+            if process.wait(START_DEADLINE_S) != 0:
+                raise RuntimeError("init of a control process failed")
 
     def start_upstream(self, name: str, zone: str, rack: str, *options: str) -> None:
         """Start one stand-in upstream."""
@@ -110,16 +167,30 @@
 
     def stop(self) -> None:
         """Stop everything gracefully, and kill what does not stop."""
-        order = sorted(self.process_by_name, key=_stop_rank)
-        for name in order:
-            self.stop_process(name)
+        for prefix in ("up-", "entry-", "control-"):
+            names = [name for name in self.process_by_name if name.startswith(prefix)]
+            for name in names:
+                self._ask_to_stop(name)
+            for name in names:
+                self._wait_stopped(name)
+        for relay in self.relay_by_pair.values():
+            relay.close()
+        for holder in self.port_holders:
+            holder.close()
 
     def stop_process(self, name: str) -> int:
         """Stop one process gracefully and return its exit status."""
-        process = self.process_by_name.pop(name)
+        self._ask_to_stop(name)
+        return self._wait_stopped(name)
+
+    def _ask_to_stop(self, name: str) -> None:
+        process = self.process_by_name[name]
         if process.poll() is None:
             process.send_signal(signal.SIGCONT)
             process.send_signal(signal.SIGTERM)
+
+    def _wait_stopped(self, name: str) -> int:
+        process = self.process_by_name.pop(name)
         try:
             return process.wait(STOP_DEADLINE_S)
         except subprocess.TimeoutExpired:
@@ -149,7 +220,8 @@
             lines += [f'address = "127.0.0.1:{port}"']
             lines += [f'data_folder = "{self.folder / name}"']
         lines += ["[control.replicas]"]
-        for replica, port in self.grpc_port_by_name.items():
+        for replica in self.grpc_port_by_name:
+            port = self._port_seen_by(name, replica)
             lines += [f'{replica} = "127.0.0.1:{port}"']
         lines += ["[access]"]
         lines += [f'operator_token_hashes = ["{_digest(self.operator_token)}"]']
@@ -159,10 +231,3 @@
 
 def _digest(token: str) -> str:
     return hashlib.sha256(token.encode()).hexdigest()
-
-
-def _stop_rank(name: str) -> int:
-    for rank, prefix in enumerate(("up-", "entry-", "control-")):
-        if name.startswith(prefix):
-            return rank
-    return 0
