Fuzz the replication core and fix what it found

A hypothesis state machine drives three and five cores with fake clocks, disks and network against one list of committed entries. It found three faults of liveness, all fixed here: a recovering replica that heard a leader put off its requests for recovery forever; a learner was promoted only by a reply to entries, so one that had caught up early stayed a learner; and a reply lost after a retransmission left the last entry unacknowledged for good. A replica that was removed and added again now announces its folder.

--- a/packages/replication/src/persimmonyard/replication/follower.py
+++ b/packages/replication/src/persimmonyard/replication/follower.py
@@ -12,6 +12,7 @@
     ChunkReply,
     Heartbeat,
     HeartbeatReply,
+    Recover,
     SnapshotMeta,
 )
 
@@ -58,6 +59,10 @@
         core.send_in_term(sender, reply)
         if message.incarnation == core.config.incarnation:
             core.commit = max(core.commit, message.commit)
+            return
+        # The leader knows a former folder, or none because this replica was
+        # removed and added again.
+        core.send(sender, Recover(core.config.incarnation))
 
     def _on_append(self, sender: str, message: Append) -> None:
         core = self._core
--- a/packages/replication/src/persimmonyard/replication/leader.py
+++ b/packages/replication/src/persimmonyard/replication/leader.py
@@ -161,10 +161,10 @@
                 self._resend(sender, progress)
             case AppendReply():
                 self._on_append_reply(progress, message)
-                self._promote(sender, progress)
             case ChunkReply():
                 self._on_chunk_reply(sender, progress, message)
         self._feed(sender, progress)
+        self._promote(sender, progress)
         self._finish_transfer()
 
     def _resend(self, name: str, progress: Progress) -> None:
@@ -175,7 +175,7 @@
         if progress.chunk_offset is not None:
             self._continue_snapshot(name, progress, progress.chunk_offset)
             return
-        if progress.in_flight:
+        if progress.match + 1 < progress.next_index:
             progress.in_flight = 0
             progress.next_index = progress.match + 1
 
@@ -261,11 +261,20 @@
         self.change_members(members.with_learner(sender, message.incarnation))
 
     def _promote(self, name: str, progress: Progress) -> None:
-        """Make a learner a voter once it holds all that is committed."""
+        """Make a learner a voter once it has caught up.
+
+        It catches up in rounds, each up to what was committed when the round
+        began, until one takes less than an election timeout.
+        """
         core = self._core
         if name not in core.members.learners or not progress.incarnation:
             return
-        if progress.match < core.commit or not self.can_change_members():
+        if progress.match < progress.goal or not self.can_change_members():
+            return
+        started_at = progress.round_started_at
+        progress.goal = core.commit
+        progress.round_started_at = core.now
+        if core.now > started_at + core.config.election_min_s:
             return
         self.change_members(core.members.with_voter(name))
 
--- a/packages/replication/src/persimmonyard/replication/leadership.py
+++ b/packages/replication/src/persimmonyard/replication/leadership.py
@@ -11,7 +11,8 @@
 class Progress:
     """How far one replica has come.
 
-    ``chunk_offset`` is None unless a snapshot is being sent.
+    ``chunk_offset`` is None unless a snapshot is being sent.  ``goal`` is the
+    index that a learner has to reach in its present round.
     """
 
     incarnation: str
@@ -20,6 +21,8 @@
     in_flight: int = 0
     sent_at: float = 0.0
     heard_at: float | None = None
+    goal: int = 0
+    round_started_at: float = 0.0
     chunk_offset: int | None = None
     chunk_meta: SnapshotMeta = field(default_factory=SnapshotMeta)
 
--- a/packages/replication/src/persimmonyard/replication/voter.py
+++ b/packages/replication/src/persimmonyard/replication/voter.py
@@ -40,7 +40,10 @@
     def heard_leader(self) -> None:
         """Note a message of the current leader."""
         self._heard_at = self._core.now
-        self.restart_timer()
+        # A leader that knows a former folder of this replica sends heartbeats
+        # too; the requests for recovery go on until it takes the new one in.
+        if not self._core.recovering:
+            self.restart_timer()
 
     def on_time(self) -> None:
         """Campaign, or ask for recovery, when the time has come."""
--- /dev/null
+++ b/test/replication/cluster.py
@@ -0,0 +1,363 @@
+"""A group of replica cores with fake clocks, disks and network.
+
+Every action is checked against a simple oracle: one list of committed
+entries that all replicas must agree with.
+"""
+
+import heapq
+import random
+
+import msgspec
+
+from persimmonyard.replication import events
+from persimmonyard.replication.core import CoreConfig, DurableState, ReplicaCore
+from persimmonyard.replication.disk import durable_state
+from persimmonyard.replication.errors import MemberChangeError
+from persimmonyard.replication.messages import (
+    Chunk,
+    EntryKind,
+    Members,
+    SnapshotMeta,
+)
+
+CHUNK = 64
+
+
+class Node:
+    """One replica: what is on its disk, and the core while it runs."""
+
+    def __init__(self, name, incarnation, members, rate):
+        self.name = name
+        self.rate = rate
+        self.wipe(incarnation, members)
+        self.core = None
+        self.frozen = False
+
+    def wipe(self, incarnation, members):
+        """Start over with an empty disk."""
+        self.incarnation = incarnation
+        self.records = []
+        self.snapshot = (SnapshotMeta(0, 0, members), b"")
+
+    def clock(self, now):
+        """Return the own clock at the true time ``now``."""
+        return 100.0 + now * self.rate
+
+    def holds(self, index, entry):
+        """Return whether the entry would survive a restart."""
+        if self.snapshot[0].index >= index:
+            return True
+        state = durable_state(self.records)
+        position = index - state.base.index - 1
+        if position < 0:
+            return True
+        return position < len(state.entries) and state.entries[position] == entry
+
+
+class FakeCluster:
+    """Run cores against each other; ``voters`` form the first members."""
+
+    def __init__(self, voters, spares=0, seed=0):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.queue = []
+        self.sequence = 0
+        self.cuts = set()
+        self.drop = self.duplicate = 0.0
+        self.delay = 0.002
+        self.committed = {}
+        self.leader_by_term = {}
+        self.indexes_by_command = {}
+        self.acknowledged = {}
+        names = [f"n{number + 1}" for number in range(voters + spares)]
+        self.members = Members(dict.fromkeys(names[:voters], "0"))
+        self.node_by_name = {}
+        for number, name in enumerate(names):
+            rate = 1.0 + 0.095 * (number % 2)
+            first = number < voters
+            node = Node(
+                name,
+                "0" if first else self.nonce(),
+                self.members if first else Members(),
+                rate,
+            )
+            self.node_by_name[name] = node
+        for node in self.nodes():
+            self.start(node)
+
+    def nodes(self):
+        return list(self.node_by_name.values())
+
+    def nonce(self):
+        return f"{self.random.getrandbits(32):08x}"
+
+    # Faults.
+
+    def start(self, node):
+        """Start a replica from what is on its disk."""
+        config = CoreConfig(
+            node.name,
+            node.incarnation,
+            tuple(self.node_by_name),
+            trailing_entries=2,
+            batch_bytes=40,
+            seed=self.random.getrandbits(32),
+        )
+        state = durable_state(node.records) if node.records else DurableState()
+        state.snapshot = node.snapshot[0]
+        node.applied = _decode(node.snapshot[1])
+        node.written = []
+        node.job = None
+        node.held = []
+        node.proposed = {}
+        node.frozen = False
+        node.core = ReplicaCore(config, state, node.clock(self.now))
+        self.step(node, events.Tick())
+
+    def kill(self, node, kept=0):
+        """Stop a replica; ``kept`` changes of a sync in progress survive."""
+        if node.job is not None:
+            self.store(node, node.job[:kept])
+        node.core = None
+        node.job = None
+
+    def lose_disk(self, node):
+        """Empty the folder and start in recovery."""
+        self.kill(node)
+        node.wipe(self.nonce(), Members())
+        self.start(node)
+
+    def thaw(self, node):
+        """Let a frozen replica go on with what has piled up."""
+        node.frozen = False
+        held, node.held = node.held, []
+        for event in held:
+            if node.core is not None:
+                self.step(node, event)
+
+    def snapshot(self, node):
+        """Save the applied state of a replica."""
+        meta = node.core.snapshot_point()
+        if meta.index > node.snapshot[0].index:
+            node.snapshot = (meta, msgspec.msgpack.encode(node.applied))
+            self.step(node, events.SnapshotSaved(meta))
+
+    def change_members(self, event):
+        """Ask the leader for a change; return whether it was accepted."""
+        for node in self.leaders():
+            if node.core.leading.can_change_members():
+                try:
+                    self.step(node, event)
+                except MemberChangeError:
+                    return False
+                return True
+        return False
+
+    # Use.
+
+    def leaders(self):
+        """Return the running replicas that lead under a lease."""
+        found = []
+        for node in self.nodes():
+            if node.core is None or node.frozen:
+                continue
+            if node.core.leads(node.clock(self.now)):
+                found.append(node)
+        return found
+
+    def propose(self, node, command):
+        """Propose a command, which the cluster has not seen before."""
+        before = node.core.log.last_index
+        self.step(node, events.Proposed([command]))
+        if node.core is not None and node.core.log.last_index > before:
+            node.proposed[before + 1] = (node.core.term, command)
+
+    def run(self, seconds):
+        """Let true time pass."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, node, core, event, job = heapq.heappop(self.queue)
+            if job is not None and node.job is job:
+                self.store(node, job)
+                node.job = None
+            if node.core is None or node.core is not core:
+                continue
+            if node.frozen:
+                node.held.append(event)
+                continue
+            self.step(node, event)
+        self.now = end
+
+    def later(self, delay, node, event, job=None):
+        self.sequence += 1
+        item = (self.now + delay, self.sequence, node, node.core, event, job)
+        heapq.heappush(self.queue, item)
+
+    # Carrying out actions.
+
+    def step(self, node, event):
+        core = node.core
+        if isinstance(event, events.Tick):
+            node.tick_at = None
+        for action in core.step(event, node.clock(self.now)):
+            self.carry_out(node, action)
+        self.check_leases()
+        deadline = core.next_deadline()
+        if getattr(node, "tick_at", None) is None or deadline < node.tick_at:
+            node.tick_at = deadline
+            wait = (deadline - node.clock(self.now)) / node.rate
+            self.later(max(0.0005, wait), node, events.Tick())
+
+    def carry_out(self, node, action):
+        match action:
+            case events.Send(to, message):
+                self.send(node, to, message)
+            case events.Write() | events.Rewrite():
+                node.written.append(action)
+            case events.Sync(token):
+                assert node.job is None, "two syncs at once"
+                node.job, node.written = node.written, []
+                delay = self.random.uniform(0.0, 2 * self.delay)
+                self.later(delay, node, events.Synced(token), node.job)
+            case events.Apply(index, entry):
+                self.apply(node, index, entry)
+            case events.SendChunk(to, chunk):
+                self.send_chunk(node, to, chunk)
+            case events.StoreChunk(chunk):
+                self.store_chunk(node, chunk)
+            case events.Restore():
+                node.applied = _decode(node.snapshot[1])
+                self.check_applied(node)
+            case events.RoleChanged(events.Role.LEADER, term):
+                known = self.leader_by_term.setdefault(term, node.name)
+                assert known == node.name, f"two leaders in term {term}"
+
+    def send(self, node, to, message):
+        receiver = self.node_by_name[to]
+        copies = 1
+        if self.random.random() < self.drop:
+            copies = 0
+        if self.random.random() < self.duplicate:
+            copies += 1
+        for _ in range(copies):
+            if (node.name, to) in self.cuts:
+                return
+            delay = self.random.uniform(0.0002, self.delay)
+            event = events.Received(node.name, message)
+            if receiver.core is not None:
+                self.later(delay, receiver, event)
+
+    def store(self, node, changes):
+        for change in changes:
+            if isinstance(change, events.Rewrite):
+                node.records = []
+            node.records = node.records + list(change.records)
+
+    def send_chunk(self, node, to, chunk):
+        meta, data = node.snapshot
+        if meta.index != chunk.meta.index:
+            return
+        part = data[chunk.offset : chunk.offset + CHUNK]
+        done = chunk.offset + len(part) >= len(data)
+        message = Chunk(chunk.term, meta, chunk.offset, chunk.sent_at, part, done)
+        self.send(node, to, message)
+
+    def store_chunk(self, node, chunk):
+        if chunk.offset == 0:
+            node.part = b""
+        node.part += chunk.data
+        if not chunk.done:
+            return
+        if chunk.meta.index > node.snapshot[0].index:
+            node.snapshot = (chunk.meta, node.part)
+        self.later(0.001, node, events.SnapshotReceived(chunk.meta))
+
+    # The oracle.
+
+    def apply(self, node, index, entry):
+        if index not in self.committed:
+            self.check_quorum(node, index, entry)
+            assert index == len(self.committed) + 1, f"entry {index} skips others"
+            self.committed[index] = entry
+            if entry.kind == EntryKind.MEMBERS:
+                self.members = msgspec.msgpack.decode(entry.data, type=Members)
+            if entry.kind == EntryKind.COMMAND:
+                self.indexes_by_command.setdefault(entry.data, []).append(index)
+        assert self.committed[index] == entry, f"entry {index} differs"
+        if entry.kind == EntryKind.COMMAND:
+            node.applied.append((index, entry.data))
+        term, command = node.proposed.pop(index, (0, b""))
+        if term == entry.term:
+            self.acknowledged[command] = index
+
+    def check_quorum(self, node, index, entry):
+        """Check that a quorum of disks holds an entry when it is committed."""
+        if not node.core.leadership:
+            return
+        members = node.core.members
+        count = lost = 0
+        for name, incarnation in members.voters.items():
+            voter = self.node_by_name[name]
+            # A folder may be emptied after its replica has answered.
+            if voter.incarnation != incarnation:
+                lost += 1
+                continue
+            if voter.holds(index, entry):
+                count += 1
+        assert count + lost >= members.quorum(), f"entry {index} is not durable"
+
+    def check_applied(self, node):
+        for index, command in node.applied:
+            assert self.committed[index].data == command, f"entry {index} differs"
+
+    def check_leases(self):
+        """Check that a leader under its lease has seen all committed entries."""
+        for node in self.nodes():
+            if node.core is None or not node.core.leads(node.clock(self.now)):
+                continue
+            seen = node.core.commit
+            assert seen >= len(self.committed), f"{node.name} leads with stale reads"
+
+    def check_acknowledged(self):
+        """Every acknowledged command is committed exactly once, in place."""
+        for command, index in self.acknowledged.items():
+            assert self.indexes_by_command[command] == [index], command
+        for node in self.nodes():
+            if node.core is not None:
+                self.check_applied(node)
+
+    def complete(self):
+        """Return whether all members are voters with their present disks."""
+        for name in [*self.members.voters, *self.members.learners]:
+            if self.members.voters.get(name) != self.node_by_name[name].incarnation:
+                return False
+        return True
+
+    def settle(self):
+        """End all faults; a command is committed and applied everywhere."""
+        self.cuts = set()
+        self.drop = self.duplicate = 0.0
+        self.delay = 0.002
+        for node in self.nodes():
+            if node.core is None:
+                self.start(node)
+            self.thaw(node)
+        for _ in range(40):
+            self.run(0.5)
+            leaders = self.leaders()
+            if leaders and self.complete():
+                break
+        assert leaders, "no leader after all faults ended"
+        assert self.complete(), "a replica did not recover"
+        self.propose(leaders[0], b"last")
+        self.run(3.0)
+        assert b"last" in self.acknowledged, "no commit after all faults ended"
+        for name in self.members.voters:
+            node = self.node_by_name[name]
+            assert node.applied[-1][1] == b"last", f"{name} fell behind"
+
+
+def _decode(data):
+    if not data:
+        return []
+    return msgspec.msgpack.decode(data, type=list[tuple[int, bytes]])
--- /dev/null
+++ b/test/replication/test_core.py
@@ -0,0 +1,184 @@
+"""Stateful fuzzing of the replication core against a simple oracle."""
+
+import unittest
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from persimmonyard.replication import events
+from test.replication.cluster import FakeCluster
+
+number = st.integers(0, 7)
+
+
+class Faults(RuleBasedStateMachine):
+    """Rules that break, heal and use a group of replicas."""
+
+    voters = 3
+
+    @initialize(seed=st.integers(0, 2**32))
+    def build(self, seed):
+        self.cluster = FakeCluster(self.voters, spares=1, seed=seed)
+        self.commands = 0
+        self.cluster.run(3.0)
+
+    def node(self, choice):
+        nodes = self.cluster.nodes()
+        return nodes[choice % len(nodes)]
+
+    @rule(seconds=st.sampled_from([0.003, 0.05, 0.4, 1.5]))
+    def run_for(self, seconds):
+        self.cluster.run(seconds)
+
+    @rule(count=st.integers(1, 4), seconds=st.sampled_from([0.0, 0.001, 0.004, 0.02]))
+    def propose(self, count, seconds):
+        for node in self.cluster.leaders():
+            for _ in range(count):
+                self.commands += 1
+                self.cluster.propose(node, b"command-%d" % self.commands)
+        self.cluster.run(seconds)
+
+    @rule(choice=number, kept=st.integers(0, 3))
+    def kill(self, choice, kept):
+        if self.node(choice).core is not None:
+            self.cluster.kill(self.node(choice), kept)
+
+    @rule(kept=st.integers(0, 3))
+    def kill_leader(self, kept):
+        for node in self.cluster.leaders():
+            self.cluster.kill(node, kept)
+
+    @rule(choice=number)
+    def restart(self, choice):
+        if self.node(choice).core is None:
+            self.cluster.start(self.node(choice))
+
+    @rule()
+    def restart_all(self):
+        for node in self.cluster.nodes():
+            if node.core is None:
+                self.cluster.start(node)
+
+    @rule(choice=number)
+    def lose_disk(self, choice):
+        voters = self.cluster.members.voters
+        lost = max(0, self.voters - len(voters))
+        for name, incarnation in voters.items():
+            if self.cluster.node_by_name[name].incarnation != incarnation:
+                lost += 1
+        if lost < (self.voters - 1) // 2:
+            self.cluster.lose_disk(self.node(choice))
+
+    @rule(choice=number)
+    def freeze(self, choice):
+        self.node(choice).frozen = True
+
+    @rule(seconds=st.sampled_from([0.3, 0.7, 2.5]))
+    def freeze_leader(self, seconds):
+        for node in self.cluster.leaders():
+            node.frozen = True
+        self.cluster.run(seconds)
+
+    @rule()
+    def thaw(self):
+        for node in self.cluster.nodes():
+            if node.core is not None:
+                self.cluster.thaw(node)
+
+    @rule(one=number, other=number, both=st.booleans())
+    def cut(self, one, other, both):
+        pair = (self.node(one).name, self.node(other).name)
+        self.cluster.cuts.add(pair)
+        if both:
+            self.cluster.cuts.add(pair[::-1])
+
+    @rule(choice=number, inward=st.booleans(), outward=st.booleans())
+    def isolate(self, choice, inward, outward):
+        name = self.node(choice).name
+        for other in self.cluster.node_by_name:
+            if inward:
+                self.cluster.cuts.add((other, name))
+            if outward:
+                self.cluster.cuts.add((name, other))
+
+    @rule()
+    def heal(self):
+        self.cluster.cuts = set()
+
+    @rule(
+        drop=st.sampled_from([0.0, 0.0, 0.1, 0.3]),
+        duplicate=st.sampled_from([0.0, 0.2]),
+        delay=st.sampled_from([0.002, 0.02, 0.2]),
+    )
+    def change_network(self, drop, duplicate, delay):
+        self.cluster.drop = drop
+        self.cluster.duplicate = duplicate
+        self.cluster.delay = delay
+
+    @rule(choice=number)
+    def snapshot(self, choice):
+        if self.node(choice).core is not None:
+            self.cluster.snapshot(self.node(choice))
+
+    @rule()
+    def transfer(self):
+        for node in self.cluster.leaders():
+            self.cluster.step(node, events.TransferRequested())
+
+    @precondition(lambda self: len(self.cluster.members.voters) == self.voters)
+    @rule()
+    def add_member(self):
+        for name in self.cluster.node_by_name:
+            if self.cluster.members.incarnation(name) is None:
+                self.cluster.change_members(events.MemberAdded(name, ""))
+
+    @precondition(lambda self: len(self.cluster.members.voters) > self.voters)
+    @rule(choice=number)
+    def remove_member(self, choice):
+        name = self.node(choice).name
+        if name in self.cluster.members.voters:
+            self.cluster.change_members(events.MemberRemoved(name))
+
+    def teardown(self):
+        if not hasattr(self, "cluster"):
+            return
+        self.cluster.check_acknowledged()
+        self.cluster.settle()
+        self.cluster.check_acknowledged()
+
+
+class FiveFaults(Faults):
+    voters = 5
+
+
+def fuzz(machine, examples, steps=40, extra_phases=()):
+    """Run a state machine with fixed seeds."""
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            derandomize=True,
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            database=None,
+            phases=(Phase.generate, *extra_phases),
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class FuzzTests(unittest.TestCase):
+    def test_three_replicas_keep_what_they_acknowledged(self):
+        """No faults, singly or together, lose or change a committed entry."""
+        fuzz(Faults, 250)
+
+    def test_five_replicas_keep_what_they_acknowledged(self):
+        """The same holds for five replicas with two failed at once."""
+        fuzz(FiveFaults, 120)
