Test three real control processes and single rules of the core

Kills, freezes, an emptied folder, a planned stop and a damaged log are now tested with real processes, and four rules whose harm the fuzzing does not reach have direct tests.

--- a/packages/standin/src/persimmonyard/standin/deployment.py
+++ b/packages/standin/src/persimmonyard/standin/deployment.py
@@ -51,8 +51,8 @@
         for name in [*control_names, *entry_names]:
             self.http_port_by_name[name] = free_port()
             self._write_settings(name)
-            if name in control_names:
-                self._initialize(name)
+        self._initialize(control_names)
+        for name in [*control_names, *entry_names]:
             self.start_process(name)
         for name in entry_names:
             self.wait_ready(name)
@@ -76,11 +76,18 @@
         ]
         self._spawn(name, command)
 
-    def _initialize(self, name: str) -> None:
-        command = [sys.executable, "-m", "persimmonyard.daemon.main", "init"]
-        command += ["--settings", str(self.folder / f"{name}.toml")]
-        if not (self.folder / name).exists():
-            subprocess.run(command, check=True)
+    def _initialize(self, names: list[str]) -> None:
+        """Set up the data folders of a new group, all at the same time."""
+        commands = []
+        for name in names:
+            if (self.folder / name).exists():
+                continue
+            command = [sys.executable, "-m", "persimmonyard.daemon.main", "init"]
+            command += ["--settings", str(self.folder / f"{name}.toml")]
+            commands.append(subprocess.Popen(command))
+        for process in commands:
+            if process.wait(START_DEADLINE_S) != 0:
+                raise RuntimeError("a data folder was not set up; see its output")
 
     def start_upstream(self, name: str, zone: str, rack: str, *options: str) -> None:
         """Start one stand-in upstream."""
--- /dev/null
+++ b/test/daemon/test_replicas.py
@@ -0,0 +1,222 @@
+"""Tests of three control processes that are killed, frozen and emptied."""
+
+import asyncio
+import shutil
+import signal
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import httpx
+import msgspec
+
+from persimmonyard.daemon.entry.leader import LeaderClient
+from persimmonyard.model import (
+    ClassSpec,
+    ConfigurationChange,
+    PersimmonyardError,
+    ResultCode,
+)
+from persimmonyard.standin.deployment import Deployment
+from persimmonyard.state.commands import ApplyConfiguration
+
+DEADLINE_S = 40.0
+CALLERS = 4
+# Longer than the quorum lease and every election timeout.
+FROZEN_S = 3.0
+
+
+class ReplicaProcessTests(unittest.IsolatedAsyncioTestCase):
+    @classmethod
+    def setUpClass(cls):
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.deployment = Deployment(Path(folder.name), controls=3, entries=0)
+        cls.addClassCleanup(cls.deployment.stop)
+        cls.deployment.start()
+        cls.names = list(cls.deployment.grpc_port_by_name)
+        cls.version_by_class = {}
+
+    async def asyncSetUp(self):
+        self.http = httpx.AsyncClient(trust_env=False, verify=False, timeout=2.0)
+        self.addAsyncCleanup(self.http.aclose)
+        self.client = self.client_of(self.names)
+        self.stopping = False
+        for name in self.names:
+            if name not in self.deployment.process_by_name:
+                self.deployment.start_process(name)
+        for name in self.names:
+            await self.until(lambda one=name: self.has_recovered(one))
+        await self.until(self.find_leader)
+
+    def client_of(self, names):
+        """Return a client that knows only these replicas."""
+        ports = self.deployment.grpc_port_by_name
+        addresses = {name: f"127.0.0.1:{ports[name]}" for name in names}
+        client = LeaderClient(addresses, None, None)
+        self.addAsyncCleanup(client.close)
+        return client
+
+    # Load.
+
+    async def commit(self, name):
+        """Commit one class, and note the version at which it was applied."""
+        command = ApplyConfiguration((ConfigurationChange(work_class=ClassSpec(name)),))
+        deadline = time.monotonic() + DEADLINE_S
+        while time.monotonic() < deadline:
+            try:
+                result = await self.client.execute(command, name, 5.0)
+            except PersimmonyardError:
+                continue
+            if result.code == 0:
+                self.version_by_class[name] = result.version
+                return
+            self.assertIn(result.code, (ResultCode.NOT_LEADER, ResultCode.TIMEOUT))
+        self.fail(f"{name} was not committed")
+
+    async def call_on(self, caller):
+        number = 0
+        while not self.stopping:
+            number += 1
+            await self.commit(f"{self._testMethodName}-{caller}-{number}")
+
+    def start_load(self):
+        self.callers = [asyncio.create_task(self.call_on(n)) for n in range(CALLERS)]
+
+    async def stop_load(self):
+        self.stopping = True
+        await asyncio.gather(*self.callers)
+
+    async def committed(self, count):
+        """Wait until this many commands were acknowledged."""
+        await self.until(lambda: asyncio.sleep(0, len(self.version_by_class) > count))
+
+    async def check_nothing_is_lost(self):
+        """Every acknowledged command is in force, and was applied once."""
+        body = await self.client.query("configuration", wait_s=DEADLINE_S)
+        found = msgspec.json.decode(body)
+        versions = sorted(self.version_by_class.values())
+        self.assertEqual(len(set(versions)), len(versions))
+        self.assertLessEqual(set(self.version_by_class), set(found["class_by_name"]))
+        self.assertEqual(found["version"], len(found["class_by_name"]))
+
+    # Looking at the processes.
+
+    async def status(self, name):
+        """Return the dump of a control process, or nothing if it is down."""
+        port = self.deployment.http_port_by_name[name]
+        try:
+            return (await self.http.get(f"http://127.0.0.1:{port}/dump")).json()
+        except httpx.HTTPError:
+            return {"leading": False, "replica": {}}
+
+    async def find_leader(self):
+        for name in self.deployment.process_by_name:
+            if (await self.status(name))["leading"]:
+                return name
+        return ""
+
+    async def until(self, condition, wait_s=DEADLINE_S):
+        deadline = time.monotonic() + wait_s
+        while time.monotonic() < deadline:
+            found = await condition()
+            if found:
+                return found
+            await asyncio.sleep(0.1)
+        return self.fail("condition not reached")
+
+    async def has_recovered(self, name):
+        replica = (await self.status(name))["replica"]
+        voters = replica.get("voters", [])
+        return name in voters and not replica["recovering"]
+
+    # Tests.
+
+    async def test_killed_leader_loses_no_acknowledged_command(self):
+        """SIGKILL under load: another leads, each command applies once."""
+        self.start_load()
+        await self.committed(50)
+        first = await self.until(self.find_leader)
+        self.deployment.kill_process(first)
+        second = await self.until(self.find_leader)
+        self.assertNotEqual(first, second)
+        count = len(self.version_by_class)
+        await self.committed(count + 50)
+        await self.stop_load()
+        self.deployment.start_process(first)
+        await self.check_nothing_is_lost()
+
+    async def test_frozen_leader_neither_reads_nor_decides_afterwards(self):
+        """A leader that slept through its lease never serves an old state."""
+        first = await self.until(self.find_leader)
+        old = self.client_of([first])
+        await old.query("status")
+        self.deployment.signal(first, signal.SIGSTOP)
+        self.client = self.client_of([name for name in self.names if name != first])
+        self.start_load()
+        await asyncio.sleep(FROZEN_S)
+        count = len(self.version_by_class)
+        await self.committed(count + 50)
+        latest = max(self.version_by_class.values())
+        reads = [asyncio.create_task(old.query("configuration", wait_s=2.0))]
+        await asyncio.sleep(0.1)
+        self.deployment.signal(first, signal.SIGCONT)
+        for _ in range(20):
+            reads.append(asyncio.create_task(old.query("configuration", wait_s=2.0)))
+            await asyncio.sleep(0.01)
+        for read in await asyncio.gather(*reads, return_exceptions=True):
+            if isinstance(read, bytes):
+                self.assertGreaterEqual(msgspec.json.decode(read)["version"], latest)
+                continue
+            self.assertIsInstance(read, PersimmonyardError)
+        await self.stop_load()
+        await self.check_nothing_is_lost()
+
+    async def test_emptied_replica_does_not_count_until_it_recovered(self):
+        """A lost disk and another instance at once lose no command."""
+        leader = await self.until(self.find_leader)
+        lost, late = (name for name in self.names if name != leader)
+        self.deployment.signal(late, signal.SIGSTOP)
+        for number in range(20):
+            await self.commit(f"before-{number}")
+        self.deployment.kill_process(lost)
+        shutil.rmtree(self.deployment.folder / lost)
+        self.deployment.kill_process(leader)
+        self.deployment.start_process(lost)
+        self.deployment.signal(late, signal.SIGCONT)
+        await asyncio.sleep(FROZEN_S)
+        self.assertEqual(await self.find_leader(), "")
+        self.deployment.start_process(leader)
+        await self.until(lambda: self.has_recovered(lost))
+        self.deployment.kill_process(leader)
+        await self.commit("after")
+        await self.check_nothing_is_lost()
+
+    async def test_terminated_leader_hands_over(self):
+        """A planned stop ends with status 0 and a leader elsewhere."""
+        self.start_load()
+        first = await self.until(self.find_leader)
+        status = await asyncio.to_thread(self.deployment.stop_process, first)
+        self.assertEqual(status, 0)
+        await self.until(self.find_leader)
+        await self.stop_load()
+        await self.check_nothing_is_lost()
+
+    async def test_damaged_log_stops_the_process(self):
+        """A control process refuses to guess at a damaged log."""
+        for number in range(3):
+            await self.commit(f"damage-{number}")
+        name = self.names[0]
+        self.deployment.kill_process(name)
+        path = self.deployment.folder / name / "log"
+        content = bytearray(path.read_bytes())
+        content[20] ^= 1
+        path.write_bytes(content)
+        self.deployment.start_process(name)
+        process = self.deployment.process_by_name[name]
+        self.assertEqual(await asyncio.to_thread(process.wait, DEADLINE_S), 3)
+        log = (self.deployment.folder / f"{name}.log").read_text()
+        self.assertIn('"code": 800', log)
+        del self.deployment.process_by_name[name]
+        shutil.rmtree(self.deployment.folder / name)
--- a/test/replication/test_core.py
+++ b/test/replication/test_core.py
@@ -12,7 +12,23 @@
     run_state_machine_as_test,
 )
 
-from persimmonyard.replication import events
+from persimmonyard.replication import (
+    CoreConfig,
+    DurableState,
+    MemberChangeError,
+    ReplicaCore,
+    events,
+)
+from persimmonyard.replication.messages import (
+    AppendReply,
+    Entry,
+    EntryKind,
+    Members,
+    PreVote,
+    PreVoteReply,
+    SnapshotMeta,
+    VoteReply,
+)
 from test.replication.cluster import FakeCluster
 
 number = st.integers(0, 7)
@@ -196,6 +212,72 @@
     )
 
 
+class RuleTests(unittest.TestCase):
+    """Rules whose harm needs more steps than the fuzzing reaches."""
+
+    MEMBERS = Members({"a": "0", "b": "0", "c": "0"})
+
+    def elected(self, entries):
+        """Return a core that was just elected in term 3, and its clock."""
+        durable = DurableState(term=2, entries=entries)
+        durable.snapshot = SnapshotMeta(0, 0, self.MEMBERS)
+        core = ReplicaCore(CoreConfig("a", "0"), durable, 0.0)
+        for event in (
+            events.Tick(),
+            events.Received("b", PreVoteReply(3, True, "0", 2)),
+            events.Synced(1),
+            events.Received("b", VoteReply(3, True, "0")),
+            events.Synced(2),
+        ):
+            core.step(event, 1.3)
+        self.assertEqual(core.role, events.Role.LEADER)
+        return core
+
+    def reply(self, core, match, now=1.3):
+        """Let a follower confirm entries and return what is applied."""
+        message = AppendReply(3, True, match, now, "0")
+        applied = []
+        for action in core.step(events.Received("b", message), now):
+            if isinstance(action, events.Apply):
+                applied.append(action.index)
+        return applied
+
+    def test_entry_of_an_earlier_term_waits_for_one_of_this_term(self):
+        """A later leader may still replace an old entry on a quorum."""
+        core = self.elected([Entry(1, EntryKind.COMMAND, b"old")])
+        self.assertEqual(self.reply(core, 1), [])
+        self.assertEqual(self.reply(core, 2), [1, 2])
+
+    def test_members_change_only_after_an_own_entry_and_one_at_a_time(self):
+        """Two changes at once could give two quorums that do not meet."""
+        core = self.elected([])
+        with self.assertRaises(MemberChangeError):
+            core.step(events.MemberAdded("d", ""), 1.3)
+        self.reply(core, 1)
+        core.step(events.MemberAdded("d", ""), 1.3)
+        with self.assertRaises(MemberChangeError):
+            core.step(events.MemberRemoved("c"), 1.3)
+
+    def test_leader_that_hands_over_decides_nothing(self):
+        """Its successor is elected without waiting for the lease."""
+        core = self.elected([])
+        self.reply(core, 1)
+        self.assertTrue(core.leads(1.3))
+        core.step(events.Proposed([b"unsynced"]), 1.3)
+        core.step(events.TransferRequested(), 1.3)
+        self.assertFalse(core.leads(1.3))
+        self.assertEqual(core.role, events.Role.LEADER)
+
+    def test_replica_that_just_started_refuses_its_vote(self):
+        """It may have confirmed a lease right before it restarted."""
+        durable = DurableState(snapshot=SnapshotMeta(0, 0, self.MEMBERS))
+        core = ReplicaCore(CoreConfig("a", "0"), durable, 5.0)
+        early = core.step(events.Received("b", PreVote(1, 0, 0)), 5.5)
+        late = core.step(events.Received("b", PreVote(1, 0, 0)), 5.61)
+        granted = [actions[0].message.granted for actions in (early, late)]
+        self.assertEqual(granted, [False, True])
+
+
 class FuzzTests(unittest.TestCase):
     def test_three_replicas_keep_what_they_acknowledged(self):
         """No faults, singly or together, lose or change a committed entry."""
