--- a/packages/daemon/src/persimmonyard/daemon/entry/upstream_calls.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/upstream_calls.py
@@ -20,6 +20,8 @@
     "UpstreamCalls",
     "UpstreamUnreachableError",
     "attempt_id",
+    "call_body",
+    "checked_answer",
 ]
 
 CALL_TIMEOUT_S = 2.0
@@ -48,12 +50,7 @@
         Raises ``UpstreamUnreachableError`` if the effect is unknown, and
         ``PersimmonyardError`` with the code of a refusal.
         """
-        body = self._identity(order, member)
-        match call:
-            case "prepare":
-                body |= self._prepare_fields(order, member)
-            case "start":
-                body |= self._start_fields(order)
+        body = call_body(call, order, member)
         target = order.members[member]
         reply = await self._post(target, call, body, CALL_TIMEOUT_S)
         status: TaskStatus = self._convert(reply, TaskStatus)
@@ -77,51 +74,11 @@
 
     async def result(self, order: DispatchOrder, member: int) -> TaskAnswer:
         """Return the answer of a finished task, whole and checked."""
-        body = self._identity(order, member)
+        body = call_body("result", order, member)
         reply = await self._post(
             order.members[member], "result", body, RESULT_TIMEOUT_S
         )
-        return self._checked_answer(order, member, reply)
-
-    def _prepare_fields(self, order: DispatchOrder, member: int) -> dict[str, Any]:
-        return {
-            "accelerators": order.accelerators,
-            "cores": order.cores,
-            "memory_mb": order.memory_mb,
-            "permit_s": START_PERMIT_S,
-            "checkpoint": _member_checkpoint(order, member),
-        }
-
-    def _start_fields(self, order: DispatchOrder) -> dict[str, Any]:
-        return {
-            "lease_s": TASK_LEASE_S,
-            "declared_run_s": order.declared_run_s,
-            "payload": base64.b64encode(order.payload).decode(),
-        }
-
-    def _checked_answer(
-        self, order: DispatchOrder, member: int, reply: dict[str, Any]
-    ) -> TaskAnswer:
-        if reply.get("attempt") != attempt_id(order):
-            raise UpstreamUnreachableError("answer of another attempt")
-        if reply.get("member") != member:
-            raise UpstreamUnreachableError("answer of another member")
-        try:
-            body = base64.b64decode(reply.get("body", ""), validate=True)
-        except (ValueError, TypeError) as error:
-            raise UpstreamUnreachableError(f"malformed answer: {error}") from error
-        digest = hashlib.sha256(body).hexdigest()
-        if len(body) != reply.get("length") or digest != reply.get("digest"):
-            raise UpstreamUnreachableError("answer does not match its digest")
-        return TaskAnswer(body, digest)
-
-    def _identity(self, order: DispatchOrder, member: int) -> dict[str, Any]:
-        return {
-            "attempt": attempt_id(order),
-            "member": member,
-            "fence": order.fence,
-            "incarnation": order.members[member].incarnation,
-        }
+        return checked_answer(order, member, reply)
 
     def _convert(self, reply: Any, expected: Any) -> Any:
         try:
@@ -152,6 +109,32 @@
     return f"{order.request_id}.{order.number}"
 
 
+def call_body(call: str, order: DispatchOrder, member: int) -> dict[str, Any]:
+    """Return the body of a call about one task."""
+    body: dict[str, Any] = {
+        "attempt": attempt_id(order),
+        "member": member,
+        "fence": order.fence,
+        "incarnation": order.members[member].incarnation,
+    }
+    match call:
+        case "prepare":
+            body |= {
+                "accelerators": order.accelerators,
+                "cores": order.cores,
+                "memory_mb": order.memory_mb,
+                "permit_s": START_PERMIT_S,
+                "checkpoint": _member_checkpoint(order, member),
+            }
+        case "start":
+            body |= {
+                "lease_s": TASK_LEASE_S,
+                "declared_run_s": order.declared_run_s,
+                "payload": base64.b64encode(order.payload).decode(),
+            }
+    return body
+
+
 def _member_checkpoint(order: DispatchOrder, member: int) -> str:
     """Return the member's part of what the last attempt left."""
     if not order.checkpoint or len(order.members) == 1:
@@ -165,3 +148,24 @@
         return ResultCode(value)
     except ValueError as error:
         raise UpstreamUnreachableError(f"unknown code {value!r}") from error
+
+
+def checked_answer(
+    order: DispatchOrder, member: int, reply: dict[str, Any]
+) -> TaskAnswer:
+    """Return the answer in a reply if it is whole and that of the task.
+
+    Raises ``UpstreamUnreachableError`` otherwise, so that it is fetched again.
+    """
+    if reply.get("attempt") != attempt_id(order):
+        raise UpstreamUnreachableError("answer of another attempt")
+    if reply.get("member") != member:
+        raise UpstreamUnreachableError("answer of another member")
+    try:
+        body = base64.b64decode(reply.get("body", ""), validate=True)
+    except (ValueError, TypeError) as error:
+        raise UpstreamUnreachableError(f"malformed answer: {error}") from error
+    digest = hashlib.sha256(body).hexdigest()
+    if len(body) != reply.get("length") or digest != reply.get("digest"):
+        raise UpstreamUnreachableError("answer does not match its digest")
+    return TaskAnswer(body, digest)
--- a/packages/standin/src/persimmonyard/standin/tasks.py
+++ b/packages/standin/src/persimmonyard/standin/tasks.py
@@ -187,7 +187,9 @@
             task = Task(body["attempt"], body["member"], "prepared")
             self._task_by_key[key] = task
             self._active_by_key[key] = task
-        if task.state == "prepared":
+        # A repeated prepare under the same fence is a duplicate: it must not
+        # extend the permit.
+        if task.state == "prepared" and task.prepared_fence < body["fence"]:
             task.prepared_fence = body["fence"]
             task.permit_until = self._clock() + body["permit_s"]
             task.resumes_from = body.get("checkpoint", "")
