--- a/packages/daemon/src/persimmonyard/daemon/entry/configuration_body.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/configuration_body.py
@@ -86,7 +86,7 @@
     require(1 <= len(changes) <= MAX_CHANGES, "changes", f"1 to {MAX_CHANGES} changes")
     found = []
     for number, change in enumerate(changes):
-        found.append(_change(change, f"changes.{number}"))
+        found.append(_change(change, f"changes[{number}]"))
     return tuple(found)
 
 
@@ -136,7 +136,7 @@
     _name(f"{path}.name", fields.name)
     for number, digest in enumerate(fields.token_hashes):
         valid = _DIGEST.fullmatch(digest) is not None
-        field = f"{path}.token_hashes.{number}"
+        field = f"{path}.token_hashes[{number}]"
         require(valid, field, "a SHA-256 digest of 64 lower-case hex digits")
     require_range(f"{path}.max_waiting", fields.max_waiting, 0, MAX_COUNT)
     if fields.max_accelerators is not None:
@@ -144,7 +144,7 @@
         require_range(field, fields.max_accelerators, 0, MAX_COUNT)
     guarantee = []
     for number, shape in enumerate(fields.guarantee):
-        guarantee.append(_shape(shape, f"{path}.guarantee.{number}"))
+        guarantee.append(_shape(shape, f"{path}.guarantee[{number}]"))
     return ClientAccountSpec(
         fields.name,
         fields.token_hashes,
--- a/test/counting.py
+++ b/test/counting.py
@@ -22,7 +22,13 @@
     outcomes: list[Outcome] = []
 
     def testOutcome(self, event):  # noqa: N802
-        """Classify the outcome that nose2 reports."""
+        """Classify the outcome that nose2 reports.
+
+        A subtest that passed is part of its test, which is reported by
+        itself; a subtest that failed takes the place of its test.
+        """
+        if event.outcome == result.SUBTEST and event.exc_info is None:
+            return
         kind = "failed"
         if event.outcome == result.SKIP:
             kind = "skipped"
--- /dev/null
+++ b/test/daemon/fakes.py
@@ -0,0 +1,166 @@
+"""Fakes at the interfaces of an entry, shared by the daemon's tests."""
+
+import time
+
+import msgspec
+import structlog
+
+from persimmonyard.daemon.control.views import explanation, outcome_of, status
+from persimmonyard.daemon.entry.access import AccessTable
+from persimmonyard.daemon.entry.announcements import Announcements
+from persimmonyard.daemon.entry.app import EntryApp
+from persimmonyard.daemon.entry.filters import FilterChain
+from persimmonyard.daemon.entry.local_state import LocalState
+from persimmonyard.daemon.entry.operator_api import OperatorApi
+from persimmonyard.daemon.entry.requests_api import RequestApi
+from persimmonyard.daemon.metrics import EntryMetrics
+from persimmonyard.daemon.settings import (
+    AccessSettings,
+    ControlSettings,
+    HttpSettings,
+    LimitSettings,
+    LogSettings,
+    ProcessSettings,
+    Settings,
+    ShutdownSettings,
+)
+from persimmonyard.daemon.tokens import hash_token
+from persimmonyard.model import (
+    ClassSpec,
+    ClientAccountSpec,
+    ConfigurationChange,
+    PersimmonyardError,
+    ResultCode,
+    Role,
+)
+from persimmonyard.state import StateMachine
+from persimmonyard.state.commands import ApplyConfiguration, LogRecord
+from persimmonyard.wire import ConfigurationUpdate, LeaderBeat, session_registry
+
+# Logs of expected faults would bury the results of the tests.
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+
+CLINIC = {"Authorization": "Bearer clinic-token"}
+OTHER = {"Authorization": "Bearer other-token"}
+OPERATOR = {"Authorization": "Bearer operator-token"}
+UPSTREAM = {"Authorization": "Bearer upstream-token"}
+
+CHANGES = (
+    ConfigurationChange(work_class=ClassSpec("fit")),
+    ConfigurationChange(
+        client_account=ClientAccountSpec("clinic", (hash_token("clinic-token"),))
+    ),
+    ConfigurationChange(
+        client_account=ClientAccountSpec("other", (hash_token("other-token"),))
+    ),
+    ConfigurationChange(
+        client_account=ClientAccountSpec(
+            "desk", (hash_token("desk-token"),), Role.OPERATOR
+        )
+    ),
+)
+
+
+def make_settings(**limits):
+    """Return settings of an entry; keyword arguments replace limits."""
+    values = {
+        "body_bytes": 131_072,
+        "body_s": 5.0,
+        "connections": 64,
+        "calls_per_account": 32,
+        "waiting_requests": 16,
+        "queued_commands": 64,
+        "wait_s": 5.0,
+    }
+    return Settings(
+        ProcessSettings("entry-1", "entry", "karen-bench"),
+        HttpSettings("127.0.0.1", 0, 5.0),
+        ControlSettings("127.0.0.1:0", "", {"control-1": "127.0.0.1:1"}),
+        AccessSettings([hash_token("operator-token")], [hash_token("upstream-token")]),
+        LimitSettings(**(values | limits)),
+        ShutdownSettings(0.0, 5.0),
+        LogSettings("error"),
+    )
+
+
+class FakeLeader:
+    """Executes commands on a state machine of its own, without a network."""
+
+    def __init__(self):
+        self.machine = StateMachine()
+        self.machine.apply_record(LogRecord("", 1.0, ApplyConfiguration(CHANGES)))
+        self.commands = []
+        self.error = None
+        self.before_result = None
+
+    async def execute(self, command, identity="", wait_s=10.0, account=""):
+        if self.error is not None:
+            raise self.error
+        self.commands.append(command)
+        result = self.machine.apply_record(LogRecord(identity, 2.0, command))
+        if self.before_result is not None:
+            await self.before_result()
+        return result
+
+    async def query(self, kind, item_id="", wait_s=10.0):
+        if self.error is not None:
+            raise self.error
+        match kind:
+            case "request":
+                return session_registry.encode(outcome_of(self.record(item_id)))
+            case "explain":
+                return msgspec.json.encode(explanation(self.record(item_id), "busy"))
+            case "configuration":
+                return msgspec.json.encode(self.machine.configuration)
+            case "status":
+                return msgspec.json.encode(status(self.machine))
+        return b"true"
+
+    def record(self, request_id):
+        record = self.machine.request_by_id.get(request_id)
+        if record is None:
+            raise PersimmonyardError(ResultCode.NOT_FOUND, "no such request")
+        return record
+
+    def beat_soon(self):
+        """Do nothing: there is no session."""
+
+
+class FakeEntry:
+    """The HTTP side of an entry on a fake leader."""
+
+    def __init__(self, **limits):
+        self.settings = make_settings(**limits)
+        self.leader = FakeLeader()
+        self.state = LocalState()
+        self.metrics = EntryMetrics()
+        self.chain = FilterChain(
+            self.settings,
+            self.state,
+            AccessTable(self.settings.access, self.state),
+        )
+        self.announcements = Announcements(self.state, self.leader, self.chain)
+        limit_settings = self.settings.limits
+        self.entry_app = EntryApp(
+            self.state,
+            self.chain,
+            self.metrics,
+            RequestApi(limit_settings, self.state, self.leader, self.chain),
+            OperatorApi(limit_settings, self.leader, self.chain, lambda: {"x": 1}),
+            self.announcements,
+        )
+        self.app = self.entry_app.build()
+        self.grant_lease()
+
+    def grant_lease(self, seconds=60.0):
+        """Answer a beat with the configuration and a lease."""
+        update = ConfigurationUpdate(1, CHANGES, True)
+        beat = LeaderBeat(1, seconds, update)
+        assert self.state.take_beat(beat, time.monotonic())
+
+    def end(self, request_id):
+        """Let a request end and push its outcome, as the leader does."""
+        self.state.take_beat(
+            LeaderBeat(0, 0.0, outcomes=(outcome_of(self.leader.record(request_id)),)),
+            0.0,
+        )
--- /dev/null
+++ b/test/daemon/test_api.py
@@ -0,0 +1,493 @@
+"""Tests of the HTTP interface of an entry, on a fake leader."""
+
+import asyncio
+import base64
+import json
+import unittest
+
+import httpx
+
+from persimmonyard.model import PersimmonyardError, ResultCode
+from persimmonyard.state.commands import CancelRequest
+from test.daemon.fakes import CLINIC, OPERATOR, OTHER, UPSTREAM, FakeEntry
+
+GOOD = {
+    "class": "fit",
+    "key": "k-1",
+    "shape": {"gang": 2, "accelerators": 1},
+    "declared_run_s": 1.5,
+    "idempotent": True,
+    "payload": base64.b64encode(b"scan").decode(),
+}
+
+
+def changed(**fields):
+    """Return the text of the good body with fields replaced."""
+    return json.dumps(GOOD | fields)
+
+
+def without(name):
+    """Return the text of the good body without one field."""
+    return json.dumps({key: value for key, value in GOOD.items() if key != name})
+
+
+def shaped(**fields):
+    """Return the text of the good body with another shape."""
+    return changed(shape=fields)
+
+
+# What is wrong, the body, the code, the field.
+BAD_SUBMISSIONS = [
+    ("empty", "", 100, None),
+    ("not JSON", "{", 100, None),
+    ("not UTF-8", b"\xff\xfe", 100, None),
+    ("deep nesting", "[" * 100_000, 101, None),
+    ("array", "[]", 101, None),
+    ("no class", without("class"), 103, "class"),
+    ("no key", without("key"), 103, "key"),
+    ("no run time", without("declared_run_s"), 103, "declared_run_s"),
+    ("no idempotent", without("idempotent"), 103, "idempotent"),
+    ("unknown field", changed(priority=1), 102, "priority"),
+    ("unknown shape field", shaped(vendor="x"), 102, "shape.vendor"),
+    ("class a number", changed(**{"class": 1}), 101, "class"),
+    ("idempotent a string", changed(idempotent="yes"), 101, "idempotent"),
+    ("gang a fraction", shaped(gang=1.5), 101, "shape.gang"),
+    ("gang true", shaped(gang=True), 101, "shape.gang"),
+    ("run time null", changed(declared_run_s=None), 101, "declared_run_s"),
+    ("gang zero", shaped(gang=0), 101, "shape.gang"),
+    ("gang negative", shaped(gang=-1), 101, "shape.gang"),
+    ("gang above 256", shaped(gang=257), 101, "shape.gang"),
+    ("accelerators negative", shaped(accelerators=-1), 101, "shape.accelerators"),
+    ("accelerators huge", shaped(accelerators=10**30), 101, "shape.accelerators"),
+    ("no cores", shaped(cores=0), 101, "shape.cores"),
+    ("memory negative", shaped(memory_mb=-5), 101, "shape.memory_mb"),
+    ("unknown adjacency", shaped(adjacency="row"), 101, "shape.adjacency"),
+    ("run time zero", changed(declared_run_s=0), 101, "declared_run_s"),
+    ("run time negative", changed(declared_run_s=-1), 101, "declared_run_s"),
+    ("run time NaN", changed(declared_run_s=float("nan")), 101, "declared_run_s"),
+    (
+        "run time infinite",
+        changed(declared_run_s=float("inf")),
+        101,
+        "declared_run_s",
+    ),
+    (
+        "run time overflows",
+        changed().replace("1.5", "1e400"),
+        101,
+        "declared_run_s",
+    ),
+    ("wait negative", changed(wait_s=-1), 101, "wait_s"),
+    ("wait NaN", changed(wait_s=float("nan")), 101, "wait_s"),
+    ("key empty", changed(key=""), 101, "key"),
+    ("key too long", changed(key="k" * 129), 101, "key"),
+    ("key with a line break", changed(key="a\nb"), 101, "key"),
+    ("payload not base64", changed(payload="%%%"), 101, "payload"),
+    ("payload not ASCII", changed(payload="é"), 101, "payload"),
+    (
+        "payload too large",
+        changed(payload=base64.b64encode(bytes(65_537)).decode()),
+        104,
+        "payload",
+    ),
+    ("body too large", " " * 131_073, 104, None),
+    ("unknown class", changed(**{"class": "sculpt"}), 106, "class"),
+]
+
+# Method, path, headers, body, status, code, field.
+BAD_CALLS = [
+    ("GET", "/v1/nothing", CLINIC, None, 404, 109, None),
+    ("GET", "/", {}, None, 404, 109, None),
+    ("PUT", "/v1/requests", CLINIC, None, 405, 110, None),
+    ("DELETE", "/v1/requests/r-1", CLINIC, None, 405, 110, None),
+    ("POST", "/v1/requests", {}, "{}", 401, 200, None),
+    ("POST", "/v1/requests", {"Authorization": "Bearer x"}, "{}", 401, 200, None),
+    ("POST", "/v1/requests", {"Authorization": "Basic x"}, "{}", 401, 200, None),
+    ("POST", "/v1/requests", OPERATOR, "{}", 403, 201, None),
+    ("POST", "/v1/requests", UPSTREAM, "{}", 403, 201, None),
+    ("GET", "/v1/operator/status", CLINIC, None, 403, 201, None),
+    ("GET", "/v1/operator/configuration", CLINIC, None, 403, 201, None),
+    ("GET", "/v1/dump", {}, None, 401, 200, None),
+    ("GET", "/v1/dump", CLINIC, None, 403, 201, None),
+    ("POST", "/v1/upstreams/announce", CLINIC, "{}", 403, 201, None),
+    ("GET", "/v1/requests/r-1", CLINIC, None, 404, 403, "request"),
+    ("GET", "/v1/requests/r-1?wait_s=x", CLINIC, None, 400, 101, "wait_s"),
+    ("GET", "/v1/requests/r-1?wait_s=nan", CLINIC, None, 400, 101, "wait_s"),
+    ("GET", "/v1/requests/r-1?wait_s=inf", CLINIC, None, 400, 101, "wait_s"),
+    ("GET", "/v1/requests/r-1?wait_s=-1", CLINIC, None, 400, 101, "wait_s"),
+    ("GET", "/v1/requests/r-1?wait=1", CLINIC, None, 400, 102, "wait"),
+    ("GET", "/v1/requests/r-1/explain", CLINIC, None, 404, 403, "request"),
+]
+
+
+def change(**fields):
+    """Return the text of a body with one configuration change."""
+    return json.dumps({"changes": [fields]})
+
+
+def account(**fields):
+    """Return the text of a body that sets one client account."""
+    return change(client_account={"name": "a"} | fields)
+
+
+BAD_CONFIGURATIONS = [
+    ("not JSON", "{", 100, None),
+    ("no changes", "{}", 103, "changes"),
+    ("empty changes", '{"changes": []}', 101, "changes"),
+    ("empty change", change(), 101, "changes[0]"),
+    ("two in one", change(zone={"name": "z"}, remove="zone/z"), 101, "changes[0]"),
+    ("unknown kind", change(weight=1), 102, "changes[0].weight"),
+    ("no name", change(zone={"name": ""}), 101, "changes[0].zone.name"),
+    ("slash in name", change(zone={"name": "a/b"}), 101, "changes[0].zone.name"),
+    (
+        "target zero",
+        change(work_class={"name": "c", "within_s": 0}),
+        101,
+        "changes[0].work_class.within_s",
+    ),
+    (
+        "target at no time of day",
+        change(work_class={"name": "c", "done_by": "24:00"}),
+        101,
+        "changes[0].work_class.done_by",
+    ),
+    (
+        "two targets",
+        change(work_class={"name": "c", "done_by": "06:00", "within_s": 5}),
+        101,
+        "changes[0].work_class.done_by",
+    ),
+    (
+        "token in the clear",
+        account(token_hashes=["secret"]),
+        101,
+        "changes[0].client_account.token_hashes[0]",
+    ),
+    (
+        "max_waiting negative",
+        account(max_waiting=-1),
+        101,
+        "changes[0].client_account.max_waiting",
+    ),
+    (
+        "guarantee gang zero",
+        account(guarantee=[{"gang": 0}]),
+        101,
+        "changes[0].client_account.guarantee[0].gang",
+    ),
+    ("remove without kind", change(remove="x"), 101, "changes[0].remove"),
+    (
+        "version conflict",
+        json.dumps({"changes": [{"zone": {"name": "z"}}], "expected_version": 7}),
+        401,
+        "expected_version",
+    ),
+    (
+        "version negative",
+        json.dumps({"changes": [{"zone": {"name": "z"}}], "expected_version": -1}),
+        101,
+        "expected_version",
+    ),
+]
+
+
+class EntryCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        await self.use(FakeEntry())
+
+    async def use(self, entry):
+        """Serve the given entry with a test client."""
+        self.entry = entry
+        transport = httpx.ASGITransport(entry.app, raise_app_exceptions=False)
+        self.client = httpx.AsyncClient(transport=transport, base_url="http://entry")
+        self.addAsyncCleanup(self.client.aclose)
+
+    async def submit(self, headers=CLINIC, **fields):
+        return await self.client.post(
+            "/v1/requests", content=changed(**fields), headers=headers
+        )
+
+    def assert_error(self, reply, code, field, not_run=True):
+        """Check that a reply is an error in the documented form."""
+        body = reply.json()
+        keys = {"code", "name", "message", "field", "not_run"}
+        self.assertEqual(set(body), keys)
+        self.assertEqual((body["code"], body["field"]), (code, field), body)
+        self.assertEqual(body["name"], ResultCode(code).name)
+        self.assertEqual(body["not_run"], not_run, body)
+        self.assertTrue(body["message"])
+
+
+class BadInputTests(EntryCase):
+    async def test_bad_submissions_name_the_field_and_record_nothing(self):
+        """Each bad body gets its code and field, and nothing is recorded."""
+        for what, body, code, field in BAD_SUBMISSIONS:
+            with self.subTest(what):
+                reply = await self.client.post(
+                    "/v1/requests", content=body, headers=CLINIC
+                )
+                self.assert_error(reply, code, field)
+                self.assertEqual(reply.status_code, 413 if code == 104 else 400)
+        self.assertEqual(self.entry.leader.machine.request_by_id, {})
+
+    async def test_bad_configurations_change_nothing(self):
+        """Each bad configuration gets its code, and the version stays."""
+        for what, body, code, field in BAD_CONFIGURATIONS:
+            with self.subTest(what):
+                reply = await self.client.post(
+                    "/v1/operator/configuration", content=body, headers=OPERATOR
+                )
+                self.assert_error(reply, code, field)
+        self.assertEqual(self.entry.leader.machine.configuration.version, 1)
+
+    async def test_bad_calls_get_the_json_form(self):
+        """Unknown paths, methods, tokens and roles get the same form."""
+        for method, path, headers, body, status, code, field in BAD_CALLS:
+            with self.subTest(f"{method} {path} {headers}"):
+                reply = await self.client.request(
+                    method, path, headers=headers, content=body
+                )
+                self.assertEqual(reply.status_code, status)
+                about_recorded = path.startswith("/v1/requests/")
+                self.assert_error(reply, code, field, not about_recorded)
+        self.assertEqual(self.entry.leader.commands, [])
+
+    async def test_fault_inside_the_process_says_nothing_about_the_run(self):
+        """An exception gives 605 in the JSON form with not_run false."""
+        self.entry.leader.error = ZeroDivisionError("fault")
+        reply = await self.submit()
+        self.assertEqual(reply.status_code, 500)
+        self.assert_error(reply, 605, None, not_run=False)
+
+    async def test_reused_key_is_refused(self):
+        """A key with another body is 400; the first request stays alone."""
+        await self.submit()
+        reply = await self.submit(declared_run_s=2.0)
+        self.assertEqual(reply.status_code, 409)
+        self.assert_error(reply, 400, "key")
+        self.assertEqual(len(self.entry.leader.machine.request_by_id), 1)
+
+
+class NotRunTests(EntryCase):
+    async def test_unknown_outcome_is_not_called_not_run(self):
+        """A submission that may be recorded is never reported as not run."""
+        self.entry.leader.error = PersimmonyardError(ResultCode.TIMEOUT, "late")
+        reply = await self.submit()
+        self.assertEqual(reply.status_code, 504)
+        self.assert_error(reply, 603, None, not_run=False)
+
+    async def test_refusal_without_leader_is_not_run(self):
+        """A submission that no leader accepted says not run."""
+        self.entry.leader.error = PersimmonyardError(ResultCode.NO_LEADER, "none")
+        reply = await self.submit()
+        self.assert_error(reply, 600, None)
+        self.assertEqual(reply.headers["retry-after"], "1")
+
+    async def test_failed_look_up_does_not_say_that_the_request_did_not_run(self):
+        """No error about a recorded request claims that it did not run."""
+        request_id = (await self.submit()).json()["request"]
+        self.entry.leader.error = PersimmonyardError(ResultCode.NO_LEADER, "none")
+        reply = await self.client.get(f"/v1/requests/{request_id}", headers=CLINIC)
+        self.assert_error(reply, 600, None, not_run=False)
+
+    async def test_without_lease_nothing_is_accepted(self):
+        """An entry whose lease ran out refuses with 604."""
+        self.entry.state.lease_until = 0.0
+        self.assert_error(await self.submit(), 604, None)
+        self.assertEqual(self.entry.leader.commands, [])
+
+
+class RequestTests(EntryCase):
+    async def test_requests_of_another_account_look_like_not_found(self):
+        """Every call on another account's request answers like no request."""
+        request_id = (await self.submit()).json()["request"]
+        for method, tail in (
+            ("GET", ""),
+            ("GET", "?wait_s=5"),
+            ("GET", "/explain"),
+            ("POST", "/cancel"),
+            ("POST", "/acknowledge"),
+        ):
+            replies = []
+            for name in (request_id, "r-none"):
+                path = f"/v1/requests/{name}{tail}"
+                reply = await self.client.request(method, path, headers=OTHER)
+                text = reply.text.replace(name, "ID")
+                replies.append((reply.status_code, text))
+            with self.subTest(f"{method} {tail}"):
+                self.assertEqual(replies[0], replies[1])
+                self.assertEqual(replies[0][0], 404)
+        record = self.entry.leader.record(request_id)
+        self.assertFalse(record.cancel_requested)
+
+    async def test_long_poll_returns_when_the_request_ends(self):
+        """A waiting fetch gets the outcome that the leader pushes."""
+        request_id = (await self.submit()).json()["request"]
+        path = f"/v1/requests/{request_id}?wait_s=60"
+        poll = asyncio.create_task(self.client.get(path, headers=CLINIC))
+        while self.entry.state.waiters.count() == 0:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        self.entry.leader.machine._cancel(CancelRequest(request_id, "clinic"))
+        self.entry.end(request_id)
+        body = (await poll).json()
+        self.assertEqual(
+            (body["code"], body["ended"], body["not_run"]), (500, True, True)
+        )
+
+    async def test_long_poll_without_end_gives_the_identifier(self):
+        """A submission whose wait runs out returns the identifier."""
+        body = (await self.submit(wait_s=0.05)).json()
+        self.assertEqual((body["ended"], body["state"]), (False, "accepted"))
+        self.assertIn(body["request"], self.entry.leader.machine.request_by_id)
+
+    async def test_cancel_returns_the_one_outcome(self):
+        """Cancelling a waiting request gives 500, and again 500."""
+        request_id = (await self.submit()).json()["request"]
+        for _ in range(2):
+            path = f"/v1/requests/{request_id}/cancel"
+            body = (await self.client.post(path, headers=CLINIC)).json()
+            self.assertEqual((body["code"], body["not_run"]), (500, True))
+
+    async def test_stopping_entry_answers_long_polls(self):
+        """A long poll gets the identifier as soon as the entry stops."""
+        submission = asyncio.create_task(self.submit(wait_s=60))
+        while self.entry.state.waiters.count() == 0:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        self.entry.state.waiters.stop()
+        body = (await asyncio.wait_for(submission, 20)).json()
+        self.assertFalse(body["ended"])
+
+    async def test_health_and_metrics(self):
+        """Health tells of the lease; metrics count calls by code."""
+        await self.submit()
+        await self.submit(declared_run_s=9.0)
+        text = (await self.client.get("/metrics")).text
+        self.assertIn('class="fit",code="400",operation="submit"} 1', text)
+        self.assertEqual((await self.client.get("/health")).status_code, 200)
+        self.entry.entry_app.stopping = True
+        health = await self.client.get("/health")
+        self.assertEqual(
+            (health.status_code, health.json()["status"]), (503, "stopping")
+        )
+
+    async def test_dump_works_without_a_lease(self):
+        """An operator can look into an isolated entry."""
+        self.entry.state.lease_until = 0.0
+        reply = await self.client.get("/v1/dump", headers=OPERATOR)
+        self.assertEqual(reply.status_code, 200)
+
+
+class OperatorTests(EntryCase):
+    async def apply(self, body, key=None):
+        headers = dict(OPERATOR)
+        if key is not None:
+            headers["Idempotency-Key"] = key
+        return await self.client.post(
+            "/v1/operator/configuration", json=body, headers=headers
+        )
+
+    async def test_resent_change_gets_the_first_result(self):
+        """A resend with the same key applies once and returns the same."""
+        body = {"changes": [{"zone": {"name": "z"}}], "expected_version": 1}
+        first = await self.apply(body, "a")
+        second = await self.apply(body, "a")
+        self.assertEqual(first.json(), second.json())
+        conflict = await self.apply(body, "b")
+        self.assert_error(conflict, 401, "expected_version")
+        self.assertIn("version 2", conflict.json()["message"])
+
+    async def test_committed_change_is_reported_though_the_wait_fails(self):
+        """A leader lost after the commit does not turn into an error."""
+
+        async def lose_leader():
+            self.entry.leader.error = PersimmonyardError(ResultCode.NO_LEADER, "none")
+
+        self.entry.leader.before_result = lose_leader
+        body = {"changes": [{"zone": {"name": "z"}}], "wait_s": 1.0}
+        reply = await self.apply(body)
+        self.assertEqual(reply.json(), {"version": 2, "in_force": False})
+
+
+class AnnouncementTests(EntryCase):
+    SPEC = {
+        "upstream_id": "up-1",
+        "incarnation": "a",
+        "zone": "karen-bench",
+        "rack": "rack-1",
+        "address": "127.0.0.1:9000",
+        "accelerators": 8,
+        "cores": 64,
+        "memory_mb": 1024,
+    }
+
+    async def announce(self, leaving=False, sent_at=17.5, **fields):
+        body = {"spec": self.SPEC | fields, "sent_at": sent_at, "leaving": leaving}
+        return await self.client.post(
+            "/v1/upstreams/announce", json=body, headers=UPSTREAM
+        )
+
+    def names(self):
+        """Return the kinds of the commands that reached the leader."""
+        return [type(one).__name__ for one in self.entry.leader.commands]
+
+    async def test_bad_announcements_name_the_field(self):
+        """A spec that no placement could use is refused, not recorded."""
+        for field, value in (
+            ("upstream_id", ""),
+            ("incarnation", "a\nb"),
+            ("zone", ""),
+            ("rack", "r" * 129),
+            ("accelerators", -1),
+            ("cores", 1.5),
+            ("slots", 0),
+            ("connections", 0),
+            ("address", "upstream.example:9000"),
+            ("address", "127.0.0.1:0"),
+            ("address", "127.0.0.1"),
+        ):
+            with self.subTest(field=field, value=value):
+                reply = await self.announce(**{field: value})
+                self.assert_error(reply, 101, f"spec.{field}")
+        self.assertEqual(self.entry.leader.commands, [])
+
+    async def test_heartbeat_costs_no_command(self):
+        """Only a change reaches the leader as a command."""
+        for _ in range(3):
+            reply = await self.announce()
+        self.assertEqual(reply.json()["sent_at"], 17.5)
+        self.assertEqual(self.names(), ["RegisterUpstream"])
+        await self.announce(incarnation="b")
+        self.assertEqual(self.names(), ["RegisterUpstream"] * 2)
+        beat = self.entry.state.make_beat("e", "z", 2, False)
+        heard = [(one.upstream_id, one.incarnation) for one in beat.heartbeats]
+        self.assertEqual(heard, [("up-1", "b")])
+
+    async def test_leaving_is_committed_before_the_reply(self):
+        """The accepted announcement means that the status is committed."""
+        await self.announce()
+        await self.announce(leaving=True)
+        known = self.entry.leader.machine.upstream_by_id["up-1"]
+        self.assertEqual(known.status, "leaving")
+        self.assertEqual(self.names(), ["RegisterUpstream", "SetUpstreamStatus"])
+
+    async def test_unknown_upstream_that_leaves_is_registered_as_leaving(self):
+        """A first announcement with leaving leaves no usable upstream."""
+        await self.announce(leaving=True)
+        known = self.entry.leader.machine.upstream_by_id["up-1"]
+        self.assertEqual(known.status, "leaving")
+
+    async def test_nothing_is_assumed_after_a_failover(self):
+        """The next session registers the upstream again, once."""
+        await self.announce()
+        self.entry.announcements.forget()
+        await self.announce()
+        await self.announce()
+        self.assertEqual(self.names(), ["RegisterUpstream"] * 2)
+
+    async def test_refused_registration_is_sent_again(self):
+        """A registration that failed is not taken for known."""
+        self.entry.leader.error = PersimmonyardError(ResultCode.NO_LEADER, "none")
+        self.assert_error(await self.announce(), 600, None)
+        self.entry.leader.error = None
+        await self.announce()
+        self.assertEqual(self.names(), ["RegisterUpstream"])
--- /dev/null
+++ b/test/daemon/test_shutdown.py
@@ -0,0 +1,128 @@
+"""Tests of a graceful shutdown of an entry, with real processes."""
+
+import asyncio
+import base64
+import json
+import signal
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import httpx
+
+from persimmonyard.daemon.tokens import hash_token
+from persimmonyard.standin.deployment import Deployment
+
+TOKEN = "clinic-token"
+HEADERS = {"Authorization": f"Bearer {TOKEN}"}
+CALLERS = 12
+DEADLINE_S = 60.0
+
+
+class Load:
+    """Callers that submit and wait, first through entry 1, then entry 2."""
+
+    def __init__(self, urls):
+        self.urls = urls
+        self.stopping = False
+        self.ended = []
+        self.unended = []
+        self.cut = []
+
+    async def run(self):
+        """Run all callers until they are told to stop."""
+        await asyncio.gather(*(self._caller(number) for number in range(CALLERS)))
+
+    async def _caller(self, number):
+        count = 0
+        while not self.stopping:
+            count += 1
+            await self._one(f"c{number}-{count}")
+
+    async def _one(self, key):
+        payload = base64.b64encode(json.dumps({"run_s": 0.3}).encode()).decode()
+        body = {
+            "class": "fit",
+            "key": key,
+            "declared_run_s": 1.0,
+            "idempotent": False,
+            "payload": payload,
+            "wait_s": 30.0,
+        }
+        for url in self.urls:
+            try:
+                async with httpx.AsyncClient(trust_env=False, timeout=60) as client:
+                    reply = await client.post(
+                        f"{url}/v1/requests", json=body, headers=HEADERS
+                    )
+            except httpx.ConnectError:
+                continue
+            except httpx.HTTPError as error:
+                self.cut.append((key, repr(error)))
+                continue
+            if reply.status_code == 503 and reply.json()["code"] == 602:
+                continue
+            found = reply.json()
+            ended = found.get("ended", False)
+            (self.ended if ended else self.unended).append(found)
+            return
+
+
+class ShutdownTests(unittest.IsolatedAsyncioTestCase):
+    def start(self):
+        """Start a deployment with two entries and two upstreams."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        deployment = Deployment(Path(folder.name), controls=1, entries=2)
+        self.addCleanup(deployment.stop)
+        deployment.start()
+        for name in ("up-1", "up-2"):
+            deployment.start_upstream(name, "karen-bench", "rack-1")
+        account = {"name": "clinic", "token_hashes": [hash_token(TOKEN)]}
+        body = {
+            "changes": [{"work_class": {"name": "fit"}}, {"client_account": account}],
+            "wait_s": 20.0,
+        }
+        reply = httpx.post(
+            f"{deployment.entry_url(2)}/v1/operator/configuration",
+            json=body,
+            headers={"Authorization": f"Bearer {deployment.operator_token}"},
+            timeout=DEADLINE_S,
+        )
+        self.assertTrue(reply.json()["in_force"], reply.text)
+        return deployment
+
+    async def test_planned_stop_cuts_no_call_and_interrupts_no_task(self):
+        """Under load, every call gets an answer and every task runs once."""
+        deployment = await asyncio.to_thread(self.start)
+        load = Load(deployment.entry_urls())
+        callers = asyncio.create_task(load.run())
+        await asyncio.sleep(2.0)
+        process = deployment.process_by_name["entry-1"]
+        deployment.signal("entry-1", signal.SIGTERM)
+        began = time.monotonic()
+        status = await asyncio.to_thread(process.wait, DEADLINE_S)
+        took = time.monotonic() - began
+        await asyncio.sleep(1.0)
+        load.stopping = True
+        await asyncio.wait_for(callers, DEADLINE_S)
+        self.assertEqual(status, 0)
+        self.assertLess(took, 30.0)
+        self.assertEqual(load.cut, [])
+        self.assertGreater(len(load.ended), CALLERS)
+        await self.check_all_ran_once(deployment, load)
+
+    async def check_all_ran_once(self, deployment, load):
+        """Every request ended well in its one attempt."""
+        url = deployment.entry_url(2)
+        async with httpx.AsyncClient(
+            base_url=url, trust_env=False, timeout=60, headers=HEADERS
+        ) as client:
+            for one in load.ended + load.unended:
+                path = f"/v1/requests/{one['request']}"
+                found = (await client.get(f"{path}?wait_s=30")).json()
+                self.assertEqual(found["state"], "finished", found)
+                explained = (await client.get(f"{path}/explain")).json()
+                outcomes = [a["outcome"] for a in explained["attempts"]]
+                self.assertEqual(outcomes, ["finished"], explained)
