--- /dev/null
+++ b/packages/cli/src/persimmonyard/cli/inspect_commands.py
@@ -0,0 +1,89 @@
+"""Commands about single processes, settings files and tokens."""
+
+import hashlib
+import secrets
+import sys
+from importlib import metadata
+from pathlib import Path
+from typing import Annotated, Any
+
+import httpx
+import typer
+
+from persimmonyard.cli.session import session
+from persimmonyard.cli.tables import key_values
+from persimmonyard.model import ResultCode, UserError
+
+__all__ = ["check_settings", "dump", "hash_token"]
+
+DUMP_TIMEOUT_S = 10.0
+# The daemon registers its check of settings files under this group, so the
+# command line needs no import of the daemon.
+CHECK_GROUP = "persimmonyard.settings_check"
+
+
+def dump(process: str) -> None:
+    """Show the state of one process, by its name in the user's file or URL."""
+    url = session.settings.processes.get(process, process)
+    if not url.startswith(("http://", "https://")):
+        known = ", ".join(sorted(session.settings.processes)) or "none"
+        raise UserError(
+            ResultCode.NOT_FOUND,
+            f"process {process!r} has no URL in 'processes'; known: {known}",
+            "process",
+        )
+    session.show(_fetch_dump(url.rstrip("/")), key_values)
+
+
+def _fetch_dump(url: str) -> Any:
+    headers = {"Authorization": f"Bearer {session.settings.operator_token}"}
+    try:
+        # An entry serves its dump beside the calls of operators, a control
+        # process on its own port.
+        for path in ("/v1/dump", "/dump"):
+            reply = httpx.get(
+                url + path, headers=headers, timeout=DUMP_TIMEOUT_S, trust_env=False
+            )
+            if reply.status_code == 404:
+                continue
+            body = reply.json()
+            if reply.status_code < 400:
+                return body
+            raise UserError(ResultCode(body["code"]), body["message"])
+    except (httpx.HTTPError, ValueError, KeyError) as error:
+        raise UserError(ResultCode.NO_LEADER, f"no dump from {url}: {error}") from error
+    raise UserError(ResultCode.UNKNOWN_PATH, f"{url} serves no dump")
+
+
+def check_settings(path: Path) -> None:
+    """Check a settings file of persimmonyardd without starting it."""
+    checks = list(metadata.entry_points(group=CHECK_GROUP))
+    if not checks:
+        raise UserError(
+            ResultCode.BAD_SETTING, "the package persimmonyard-daemon is not installed"
+        )
+    for check in checks:
+        check.load()(path)
+    session.show({"path": str(path), "valid": True}, lambda _: f"{path} is valid")
+
+
+def hash_token(
+    new: Annotated[
+        bool, typer.Option("--new", help="Make a new random token first.")
+    ] = False,
+) -> None:
+    """Print the hash of a token, read from standard input."""
+    token = secrets.token_urlsafe(32) if new else _read_token()
+    if not token:
+        raise UserError(ResultCode.BAD_FIELD, "the token is empty", "token")
+    result = {"hash": hashlib.sha256(token.encode()).hexdigest()}
+    if new:
+        result["token"] = token
+    session.show(result, key_values)
+
+
+def _read_token() -> str:
+    if sys.stdin.isatty():
+        token: str = typer.prompt("Token", hide_input=True)
+        return token.strip()
+    return sys.stdin.readline().strip()
--- a/test/daemon/test_filters.py
+++ b/test/daemon/test_filters.py
@@ -54,6 +54,12 @@
         self.assertEqual(await self.code_from(reader), 304)
         self.assertEqual(await reader.read(), b"")
 
+    async def test_silent_connection_is_closed(self):
+        """A connection that sends nothing at all is closed too."""
+        await self.serve(headers_s=0.2)
+        reader, _ = await self.connect()
+        self.assertEqual(await self.code_from(reader), 304)
+
     async def test_slow_body_is_refused(self):
         """A body that does not arrive in time gives 304, not a held call."""
         await self.serve(body_s=0.2)
@@ -125,7 +131,7 @@
 
     async def test_caller_that_goes_away_frees_its_place(self):
         """A long poll ends when its caller closes the connection."""
-        await self.serve()
+        await self.serve(wait_s=600.0)
         _, writer = await self.connect()
         body = json.dumps(
             {
--- a/test/daemon/test_shutdown.py
+++ b/test/daemon/test_shutdown.py
@@ -40,8 +40,14 @@
             count += 1
             await self._one(f"c{number}-{count}")
 
-    async def _one(self, key):
-        payload = base64.b64encode(json.dumps({"run_s": 0.3}).encode()).decode()
+    async def long_poll(self):
+        """Wait for a task that outlasts the shutdown; return the time."""
+        began = time.monotonic()
+        await self._one("long", 12.0)
+        return time.monotonic() - began
+
+    async def _one(self, key, run_s=0.3):
+        payload = base64.b64encode(json.dumps({"run_s": run_s}).encode()).decode()
         body = {
             "class": "fit",
             "key": key,
@@ -97,6 +103,7 @@
         """Under load, every call gets an answer and every task runs once."""
         deployment = await asyncio.to_thread(self.start)
         load = Load(deployment.entry_urls())
+        long_poll = asyncio.create_task(load.long_poll())
         callers = asyncio.create_task(load.run())
         await asyncio.sleep(2.0)
         process = deployment.process_by_name["entry-1"]
@@ -109,6 +116,8 @@
         await asyncio.wait_for(callers, DEADLINE_S)
         self.assertEqual(status, 0)
         self.assertLess(took, 30.0)
+        self.assertLess(await long_poll, 10.0)
+        self.assertGreater(len(load.unended), 0)
         self.assertEqual(load.cut, [])
         self.assertGreater(len(load.ended), CALLERS)
         await self.check_all_ran_once(deployment, load)
