Accept queued connections before the listener closes

Change: the listener accepts what waits in the kernel's queue before it closes, and a connection without a call yet may still bring its first one for 1 s.

--- a/packages/daemon/src/persimmonyard/daemon/entry/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/process.py
@@ -104,9 +104,9 @@
         self._stopping = True
         self._leader.beat_soon()
         await asyncio.sleep(settings.notice_s)
+        self._chain.stop.refusing = True
         self._http.stop_listening()
         self._state.waiters.stop()
-        self._chain.stop.refusing = True
         await asyncio.gather(self._http.stop(), self._hand_over(deadline))
         self._session.cancel()
         await self._dispatcher.close()
--- a/packages/daemon/src/persimmonyard/daemon/http_server.py
+++ b/packages/daemon/src/persimmonyard/daemon/http_server.py
@@ -17,6 +17,8 @@
 
 MAX_CONNECTIONS = 2_048
 HEADERS_S = 10.0
+# How long a connection that is new at a shutdown may take for its call.
+FIRST_CALL_S = 1.0
 
 
 class HttpServer:
@@ -38,7 +40,7 @@
     ):
         self._socket = socket.create_server((host, port), backlog=2048)
         self.port = self._socket.getsockname()[1]
-        config = uvicorn.Config(
+        self._config = uvicorn.Config(
             app,
             http=_bounded_protocol(connections, headers_s),
             log_config=None,
@@ -46,10 +48,11 @@
             lifespan="off",
             timeout_graceful_shutdown=int(drain_s),
         )
-        self._server = uvicorn.Server(config)
+        self._server = uvicorn.Server(self._config)
         # The daemon handles signals itself, to drain before the server stops.
         self._server.capture_signals = contextlib.nullcontext  # type: ignore
         self._task: asyncio.Task | None = None
+        self._taken: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Start serving in the background."""
@@ -61,9 +64,38 @@
         return len(self._server.server_state.connections)
 
     def stop_listening(self) -> None:
-        """Accept no more connections; those that are open go on."""
-        for server in getattr(self._server, "servers", []):
+        """Accept no more connections; those that are open go on.
+
+        Connections that wait in the kernel's queue are accepted first,
+        because closing the listener would reset them.
+        """
+        queue = self._socket.dup()
+        queue.setblocking(False)
+        for server in self._server.servers:
             server.close()
+        waiting = []
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                waiting.append(queue.accept()[0])
+        queue.close()
+        for connection in waiting:
+            self._take(connection)
+
+    def _take(self, connection: socket.socket) -> None:
+        connection.setblocking(False)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            loop.connect_accepted_socket(self._protocol, connection)
+        )
+        self._taken.add(task)
+        task.add_done_callback(self._taken.discard)
+
+    def _protocol(self) -> asyncio.Protocol:
+        return self._config.http_protocol_class(  # type: ignore
+            config=self._config,
+            server_state=self._server.server_state,
+            app_state={},
+        )
 
     async def stop(self) -> None:
         """Finish the calls in progress and close the socket."""
@@ -77,6 +109,7 @@
         """HTTP with a limit of connections and a deadline for headers."""
 
         _headers_timer: asyncio.TimerHandle | None = None
+        _last_call = False
 
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
@@ -98,6 +131,23 @@
             super().data_received(data)
             if self._in_call():
                 self._clear_timer()
+                if self._last_call:
+                    self.cycle.keep_alive = False
+
+        def shutdown(self) -> None:
+            """Close the connection, after its first call if it is new.
+
+            A new connection was opened before the listener closed, so its
+            call may be under way; closing now would cut it.
+            """
+            if self.cycle is not None:
+                super().shutdown()
+                return
+            self._clear_timer()
+            self._last_call = True
+            self._headers_timer = self.loop.call_later(
+                FIRST_CALL_S, self.transport.close
+            )
 
         def send_400_response(self, msg: str) -> None:
             self._refuse(ResultCode.BAD_JSON, f"the call is not HTTP: {msg}", 400)
