--- a/test/daemon/test_service.py
+++ b/test/daemon/test_service.py
@@ -19,7 +19,7 @@
 )
 from persimmonyard.state.records import UpstreamStatus
 from persimmonyard.wire.generated import control_pb2
-from test.daemon.fakes import UPSTREAM, FakeControl
+from test.daemon.control_fakes import UPSTREAM, FakeControl
 
 
 class FakeScheduling:
