--- a/packages/scheduler/src/persimmonyard/scheduler/books.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -1,26 +1,30 @@
 """Everything that the scheduler knows, shared by its parts."""
 
-from persimmonyard.model import ClassSpec, ClientAccountSpec, Shape
+from persimmonyard.model import Adjacency, ClassSpec, ClientAccountSpec, Shape
 from persimmonyard.scheduler.events import Job
-from persimmonyard.scheduler.fleet import Fleet, Node
+from persimmonyard.scheduler.fleet import Fleet, Node, View
 from persimmonyard.scheduler.holds import Holds
 from persimmonyard.scheduler.layout import Layout
 from persimmonyard.scheduler.placement import can_ever_fit
 from persimmonyard.scheduler.prediction import RunTimePredictor
 from persimmonyard.scheduler.probation import Probation
-from persimmonyard.scheduler.queue import WaitingQueue
+from persimmonyard.scheduler.queue import GroupKey, WaitingQueue
 from persimmonyard.scheduler.targets import (
     HistoryRunTimes,
     RunTimes,
     is_urgent,
     latest_start,
 )
-from persimmonyard.scheduler.vector import ZERO, Vector, add, highest
+from persimmonyard.scheduler.vector import add, covers, member_need
 from persimmonyard.scheduler.work import Kind, Work
 from persimmonyard.scheduler.zones import ZonePace
 
 __all__ = ["Books"]
 
+# With more freed upstreams than this the search itself is cheaper than to
+# compare each of them.
+MAX_HOT = 64
+
 
 class Books:
     """The fleet, running and waiting work, guarantees and configuration."""
@@ -37,9 +41,12 @@
         self.pace = ZonePace()
         self.class_by_name: dict[str, ClassSpec] = {}
         self.account_by_name: dict[str, ClientAccountSpec] = {}
-        # The largest amount that a freed upstream offers since the last
-        # decision, with what borrowers use there.
-        self.reachable: Vector | None = None
+        # Upstreams where capacity has come free, and those among them whose
+        # capacity the jobs that were woken are tried for.
+        self.freed_ids: set[str] = set()
+        self.hot_ids: set[str] = set()
+        # Owners of holds on upstreams where capacity has come free.
+        self.holders: set[str] = set()
         self.wake_all = False
         # Work to move away, with the zone that it is moved out of.
         self.evacuee_zone_by_id: dict[str, str] = {}
@@ -51,8 +58,48 @@
 
     def note_freed(self, node: Node) -> None:
         """Remember that waiting work may fit on a node."""
-        offered = add(node.free, node.borrowed)
-        self.reachable = highest(self.reachable or ZERO, offered)
+        self.freed_ids.add(node.node_id)
+        holder = self.holds.owner(node)
+        if holder is not None:
+            self.holders.add(holder)
+
+    def could_help(self, group: GroupKey) -> bool:
+        """Return whether freed capacity may be enough for a group's jobs.
+
+        It compares amounts on the freed upstreams only, so that a job that
+        still does not fit costs no search.
+        """
+        if len(self.hot_ids) > MAX_HOT:
+            return True
+        need = member_need(group.shape)
+        urgent = is_urgent(self.class_by_name.get(group.class_name))
+        for node in self.fleet.nodes(self.hot_ids):
+            if not self.fleet.usable(node):
+                continue
+            if covers(node.free, need) and self._gang_may_fit(node, group.shape):
+                return True
+            if urgent and covers(add(node.free, node.calm_borrowed), need):
+                return True
+            if group.client_account in node.cells_by_account:
+                if covers(node.home_room(group.client_account), need):
+                    return True
+        return False
+
+    def _gang_may_fit(self, node: Node, shape: Shape) -> bool:
+        if shape.gang == 1:
+            return True
+        need = member_need(shape)
+        match shape.adjacency:
+            case Adjacency.RACK:
+                index = self.fleet.index(node.zone, View.FREE)
+                return index.members(need, node.rack) >= shape.gang
+            case Adjacency.ZONE:
+                index = self.fleet.index(node.zone, View.FREE)
+                return index.members(need) >= shape.gang
+        total = 0
+        for _, index in self.fleet.indexes(View.FREE):
+            total += index.members(need)
+        return total >= shape.gang
 
     def urgent(self, job: Job) -> bool:
         """Return whether a job belongs to an urgent class."""
@@ -80,7 +127,7 @@
     def give_up_claim(self, request_id: str, now: float) -> None:
         """Return a claim's capacity; its job is tried again if it waits."""
         claim = self.work.drop_claim(request_id)
-        if request_id not in self.work.task_by_id:
+        if not claim.awaits_job:
             self.enqueue(claim.job, now)
 
     def settle_layout(self, limit: int) -> None:
--- a/packages/scheduler/src/persimmonyard/scheduler/evacuation.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/evacuation.py
@@ -40,7 +40,7 @@
             if task.stopping or not books.pace.may_evacuate(zone, now):
                 continue
             reason = Reason("evacuated", f"moved out of zone {zone}")
-            if claim_move(books, self._planner, task, reason, request_id, now):
+            if claim_move(books, self._planner, task, reason, now):
                 books.pace.evacuated(zone)
                 decisions.append(
                     Preempt(
@@ -67,14 +67,14 @@
     planner: Planner,
     task: Task,
     reason: Reason,
-    for_request: str,
     now: float,
+    excluded: frozenset[str] = frozenset(),
 ) -> bool:
     """Claim unused capacity for a task's next attempt and stop this one.
 
     Return whether there was room.
     """
-    plan = planner.plan(task.job, now, preempt=False)
+    plan = planner.plan(task.job, now, preempt=False, excluded=excluded)
     if plan is None:
         return False
     ids: list[str] = []
@@ -90,6 +90,7 @@
         placed_at=now,
         victims={task.job.request_id},
         reason=reason.text,
+        awaits_job=True,
     )
     books.work.set_stopping(task, True)
     books.work.claim(claim)
--- a/packages/scheduler/src/persimmonyard/scheduler/facts.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/facts.py
@@ -197,6 +197,7 @@
         claim = books.work.claim_by_id.get(request_id)
         if claim is not None:
             claim.job = job
+            claim.awaits_job = False
             return
         books.enqueue(job, now)
 
@@ -204,8 +205,7 @@
         books = self._books
         books.queue.remove(request_id)
         books.next_number_by_id.pop(request_id, None)
-        if books.holds.drop(request_id):
-            books.wake_all = True
+        books.freed_ids.update(books.holds.drop(request_id))
         if request_id in books.work.claim_by_id:
             books.work.drop_claim(request_id)
 
--- a/packages/scheduler/src/persimmonyard/scheduler/fit_index.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/fit_index.py
@@ -92,9 +92,11 @@
                 if self._entry_by_id[node_id][1][2] >= need[2]:
                     yield node_id
 
-    def may_hold(self, need: Vector, gang: int) -> bool:
-        """Return whether accelerators alone would allow the gang here."""
-        return _members(self._count_by_level, need[0]) >= gang
+    def members(self, need: Vector, rack: RackKey | None = None) -> int:
+        """Return how many members accelerators alone would allow here."""
+        if rack is not None:
+            return _members(self._levels_by_rack.get(rack, {}), need[0])
+        return _members(self._count_by_level, need[0])
 
     def racks_for(self, need: Vector, gang: int) -> Iterator[RackKey]:
         """Yield racks that may hold the gang, the fullest first."""
--- a/packages/scheduler/src/persimmonyard/scheduler/fleet.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/fleet.py
@@ -173,6 +173,10 @@
         for node_id in sorted(self.ids_by_zone.get(zone, ())):
             self.refresh(self.node_by_id[node_id])
 
+    def index(self, zone: str, view: View) -> FitIndex:
+        """Return the index of one zone and view."""
+        return self._index_by_zone[zone][view]
+
     def indexes(self, view: View) -> Iterator[tuple[str, FitIndex]]:
         """Yield the zones in service, each with its index of one view."""
         for zone, indexes in self._index_by_zone.items():
--- a/packages/scheduler/src/persimmonyard/scheduler/holds.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/holds.py
@@ -47,14 +47,14 @@
         self.hold_by_id: dict[str, Hold] = {}
         self._owner_by_node: dict[str, str] = {}
 
-    def drop(self, request_id: str) -> bool:
-        """Give up a job's hold; return whether there was one."""
+    def drop(self, request_id: str) -> tuple[str, ...]:
+        """Give up a job's hold; return the upstreams that were held."""
         hold = self.hold_by_id.pop(request_id, None)
         if hold is None:
-            return False
+            return ()
         for node_id in hold.node_ids:
             del self._owner_by_node[node_id]
-        return True
+        return hold.node_ids
 
     def drop_node(self, node_id: str) -> None:
         """Give up the hold that includes an upstream."""
@@ -62,6 +62,10 @@
         if owner is not None:
             self.drop(owner)
 
+    def owner(self, node: Node) -> str | None:
+        """Return the request that an upstream is held for."""
+        return self._owner_by_node.get(node.node_id)
+
     def keeps_out(self, node: Node, job: Job, ends_at: float) -> bool:
         """Return whether a job would delay the job that a node is held for.
 
--- a/packages/scheduler/src/persimmonyard/scheduler/moves.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/moves.py
@@ -1,20 +1,102 @@
-"""Moves a few checkpointable tasks aside so that a waiting gang fits."""
+"""Moves a few checkpointable tasks aside so that a waiting job fits."""
 
+from persimmonyard.model import Adjacency
 from persimmonyard.scheduler.books import Books
-from persimmonyard.scheduler.decisions import Decision
+from persimmonyard.scheduler.decisions import Reason
+from persimmonyard.scheduler.evacuation import claim_move
 from persimmonyard.scheduler.events import Job
+from persimmonyard.scheduler.fleet import Node
+from persimmonyard.scheduler.holds import Hold
+from persimmonyard.scheduler.placement import search_nodes
 from persimmonyard.scheduler.planner import Plan, Planner
+from persimmonyard.scheduler.reclaim import choose_victims, loss
+from persimmonyard.scheduler.vector import add, lowest, member_need, scale, times
+from persimmonyard.scheduler.work import Kind, Task, stoppable
 
 __all__ = ["Moves"]
 
+# More moves at once cost more planning than the wait they save is sure of.
+MAX_MOVES = 4
+
+# The accelerator seconds gained must be this many times those lost, because
+# the expected wait is a prediction.
+GAIN_OVER_LOSS = 2.0
+
+MOVED = Reason("moved", "on capacity from which a few tasks were moved away")
+MOVED_AWAY = Reason("moved_away", "moved so that a waiting job fits")
+
 
 class Moves:
-    """Plan moves for a job that does not fit."""
+    """Plan moves for a job that would otherwise wait for its hold."""
 
     def __init__(self, books: Books, planner: Planner) -> None:
         self._books = books
         self._planner = planner
 
-    def plan(self, job: Job, now: float, decisions: list[Decision]) -> Plan | None:
-        """Return a plan whose victims move elsewhere, if that pays."""
-        return None
+    def plan(self, job: Job, now: float) -> Plan | None:
+        """Return a plan whose victims have claims elsewhere, if that pays."""
+        hold = self._books.holds.hold_by_id.get(job.request_id)
+        if hold is None or hold.at <= now:
+            return None
+        need = member_need(job.shape)
+        nodes = self._targets(job, hold)
+        members = search_nodes(nodes, job.shape, lambda node: self._room(job, node))
+        if members is None:
+            return None
+        work = self._books.work
+        victims = choose_victims(work, members, need, _movable, now)
+        if victims is None or not self._pays(job, hold, victims, now):
+            return None
+        if not self._claim_all(victims, frozenset(members), now):
+            return None
+        kind = Kind.BORROWER if stoppable(job) else Kind.FIXED
+        return Plan(members, kind, victims, MOVED)
+
+    def _targets(self, job: Job, hold: Hold) -> list[Node]:
+        fleet = self._books.fleet
+        nodes = fleet.nodes(hold.node_ids)
+        if job.shape.adjacency == Adjacency.RACK:
+            rack = nodes[0].rack
+            members = sorted(fleet.ids_by_zone[nodes[0].zone])
+            nodes = [one for one in fleet.nodes(members) if one.rack == rack]
+        return nodes
+
+    def _room(self, job: Job, node: Node) -> int:
+        holder = self._books.holds.owner(node)
+        if holder not in (None, job.request_id) or node.node_id in job.avoid:
+            return 0
+        if not self._books.fleet.sound(node):
+            return 0
+        total = node.free
+        for task in self._books.work.tasks_on(node):
+            if task.kind == Kind.BORROWER and not task.stopping and _movable(task):
+                held = scale(member_need(task.job.shape), task.members[node.node_id])
+                total = add(total, held)
+        if not stoppable(job):
+            total = lowest(total, node.pinnable(job.client_account))
+        return times(member_need(job.shape), total)
+
+    def _pays(self, job: Job, hold: Hold, victims: list[Task], now: float) -> bool:
+        if not victims or len(victims) > MAX_MOVES:
+            return False
+        width = max(1, job.shape.accelerators) * job.shape.gang
+        gain = (hold.at - now) * width
+        return gain > GAIN_OVER_LOSS * sum(loss(task, now) for task in victims)
+
+    def _claim_all(
+        self, victims: list[Task], targets: frozenset[str], now: float
+    ) -> bool:
+        claimed: list[Task] = []
+        for task in victims:
+            if claim_move(self._books, self._planner, task, MOVED_AWAY, now, targets):
+                claimed.append(task)
+                continue
+            for other in claimed:
+                self._books.work.drop_claim(other.job.request_id)
+                self._books.work.set_stopping(other, False)
+            return False
+        return True
+
+
+def _movable(task: Task) -> bool:
+    return task.job.checkpointable and not task.urgent
--- a/packages/scheduler/src/persimmonyard/scheduler/placement.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/placement.py
@@ -81,7 +81,7 @@
     if found is not None:
         return found
     for index in indexes:
-        if not index.may_hold(member_need(shape), shape.gang):
+        if index.members(member_need(shape)) < shape.gang:
             continue
         found = _collect(_candidates(fleet, index, shape), shape.gang, room)
         if found is not None:
--- a/packages/scheduler/src/persimmonyard/scheduler/planner.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/planner.py
@@ -54,12 +54,19 @@
     def __init__(self, books: Books) -> None:
         self._books = books
 
-    def plan(self, job: Job, now: float, preempt: bool = True) -> Plan | None:
+    def plan(
+        self,
+        job: Job,
+        now: float,
+        preempt: bool = True,
+        excluded: frozenset[str] = frozenset(),
+    ) -> Plan | None:
         """Return where a job goes now, ``None`` if nowhere.
 
-        Without ``preempt`` only unused capacity counts.
+        Without ``preempt`` only unused capacity counts.  ``excluded`` names
+        upstreams that are not to be used.
         """
-        search = _Search(self._books, job, now)
+        search = _Search(self._books, job, now, excluded)
         steps = [search.as_probe, search.at_home, search.on_surplus]
         if preempt:
             steps.append(search.at_home_reclaimed)
@@ -81,7 +88,9 @@
 class _Search:
     """The steps for one job, from the cheapest to the dearest."""
 
-    def __init__(self, books: Books, job: Job, now: float) -> None:
+    def __init__(
+        self, books: Books, job: Job, now: float, excluded: frozenset[str]
+    ) -> None:
         self._books = books
         self._fleet = books.fleet
         self._job = job
@@ -94,6 +103,7 @@
         self._avoid = job.avoid
         if job.avoid and not books.ever_fits(job.shape, job.avoid):
             self._avoid = frozenset()
+        self._avoid |= excluded
         self._zones: frozenset[str] | None = None
         cold = books.pace.cold(now)
         if cold:
@@ -171,7 +181,9 @@
         ids = self._fleet.cell_ids_by_account.get(self._account)
         if not ids:
             return None
-        racks = {self._fleet.node_by_id[one].rack for one in ids}
+        racks = set()
+        if self._job.shape.gang > 1:
+            racks = {self._fleet.node_by_id[one].rack for one in ids}
         near = set(ids)
         for zone, index in self._fleet.indexes(View.SURPLUS):
             for rack in racks:
--- a/packages/scheduler/src/persimmonyard/scheduler/queue.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/queue.py
@@ -1,12 +1,12 @@
 """Waiting jobs: who is tried next, and who waits for what."""
 
 import heapq
+from collections.abc import Callable
 from typing import NamedTuple
 
 from persimmonyard.model import Shape
 from persimmonyard.scheduler.decisions import Reason
 from persimmonyard.scheduler.events import Job
-from persimmonyard.scheduler.vector import Vector, covers, member_need
 from persimmonyard.scheduler.work import stoppable
 
 __all__ = ["GroupKey", "Urgency", "WaitingQueue"]
@@ -173,16 +173,28 @@
         self._park(entry)
         self._reason_by_group[entry.group] = reason
 
-    def wake(self, reachable: Vector | None) -> None:
-        """Make one job ready of each group that freed capacity could help.
+    def park_again(self, request_id: str) -> None:
+        """Set a probe aside again, for the reason that its group has."""
+        group = self._entry_by_id[request_id].group
+        self.park(request_id, self._reason_by_group.get(group, QUEUED))
 
-        ``reachable`` bounds what one freed upstream offers, with what its
-        borrowers use; ``None`` wakes every group.
-        """
+    def wake(self, could_help: Callable[[GroupKey], bool]) -> None:
+        """Make one job ready of each group that freed capacity could help."""
         for group in list(self._parked_by_group):
-            if reachable is None or covers(reachable, member_need(group.shape)):
+            if group not in self._probes_by_group and could_help(group):
                 self.wake_group(group)
 
+    def wake_job(self, request_id: str) -> None:
+        """Make one parked job ready."""
+        if request_id in self._parked_ids:
+            self._parked_ids.discard(request_id)
+            self._make_ready(self._entry_by_id[request_id])
+
+    def is_probe(self, request_id: str) -> bool:
+        """Return whether a ready job was parked before with its group."""
+        group = self._entry_by_id[request_id].group
+        return self._probes_by_group.get(group) == request_id
+
     def wake_account(self, account: str) -> None:
         """Make one job ready of each group of an account."""
         for group in list(self._parked_by_group):
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -83,7 +83,7 @@
         books = self._books
         if books.queue.any_ready() or books.layout.pending or books.ended:
             return self._decided_at
-        if books.wake_all or (books.reachable is not None and len(books.queue)):
+        if books.wake_all or (books.freed_ids and len(books.queue)):
             return self._decided_at
         times_due = []
         delayed = books.queue.next_due()
@@ -104,7 +104,7 @@
     def why_waiting(self, request_id: str) -> Reason | None:
         """Return why a request waits."""
         claim = self._books.work.claim_by_id.get(request_id)
-        if claim is not None and request_id not in self._books.work.task_by_id:
+        if claim is not None and not claim.awaits_job:
             count = len(claim.victims)
             return Reason("reclaiming", f"waits until {count} preempted tasks end")
         return self._books.queue.why_waiting(request_id)
@@ -160,6 +160,10 @@
             parts.append(f"{absent} registered upstreams that could help are absent")
         return "; ".join(parts)
 
+    def held_requests(self) -> list[str]:
+        """Return the waiting requests that capacity is held back for."""
+        return sorted(self._books.holds.hold_by_id)
+
     # Claims.
 
     def _place_claims(self, now: float, decisions: list[Decision]) -> None:
@@ -171,9 +175,7 @@
             claim = books.work.claim_by_id.get(request_id)
             if claim is None or claim.victims:
                 continue
-            if request_id in books.work.task_by_id:
-                continue
-            if claim.job.not_before > now:
+            if claim.awaits_job or claim.job.not_before > now:
                 waiting.append(request_id)
                 continue
             books.work.drop_claim(request_id)
@@ -201,12 +203,18 @@
         if books.pace.warming() and now >= self._warmed_at + WARM_UP_TICK_S:
             self._warmed_at = now
             books.wake_all = True
+        if not books.queue.any_ready():
+            books.hot_ids.clear()
+        books.hot_ids |= books.freed_ids
         if books.wake_all:
-            books.queue.wake(None)
-        elif books.reachable is not None:
-            books.queue.wake(books.reachable)
+            books.hot_ids |= set(books.fleet.node_by_id)
+        for request_id in sorted(books.holders):
+            books.queue.wake_job(request_id)
+        if books.freed_ids or books.wake_all:
+            books.queue.wake(books.could_help)
+        books.holders.clear()
+        books.freed_ids.clear()
         books.wake_all = False
-        books.reachable = None
 
     def _try_jobs(self, now: float, decisions: list[Decision]) -> None:
         """Try ready jobs, the accounts by turns."""
@@ -227,6 +235,10 @@
     def _try(self, request_id: str, now: float, decisions: list[Decision]) -> None:
         books = self._books
         job = books.queue.job(request_id)
+        group = books.queue.group(request_id)
+        if books.queue.is_probe(request_id) and not books.could_help(group):
+            books.queue.park_again(request_id)
+            return
         if books.fleet.node_by_id and not books.ever_fits(job.shape):
             self._refuse(job, decisions)
             return
@@ -236,10 +248,10 @@
             return
         plan = self._planner.plan(job, now)
         if plan is None:
-            plan = self._moves.plan(job, now, decisions)
+            books.holds.consider(job, now)
+            plan = self._moves.plan(job, now)
         if plan is None:
             books.queue.park(request_id, self._why_not(job))
-            books.holds.consider(job, now)
             return
         self._carry_out(job, plan, now, decisions)
 
@@ -249,8 +261,7 @@
         books = self._books
         group = books.queue.group(job.request_id)
         books.queue.remove(job.request_id)
-        if books.holds.drop(job.request_id):
-            books.wake_all = True
+        books.freed_ids.update(books.holds.drop(job.request_id))
         books.queue.wake_group(group)
         if not plan.victims:
             self._place(job, plan, now, decisions)
--- a/packages/scheduler/src/persimmonyard/scheduler/work.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/work.py
@@ -44,7 +44,9 @@
 
     ``members`` counts members by upstream; a member whose upstream has
     restarted is no longer in it.  ``victims`` are the requests whose
-    attempts must end before a claim can be placed.
+    attempts must end before a claim can be placed.  A claim that
+    ``awaits_job`` is for a job that still runs or was not yet reported to
+    wait again.
     """
 
     job: Job
@@ -58,6 +60,7 @@
     stopping: bool = False
     victims: set[str] = field(default_factory=set)
     claimed: bool = False
+    awaits_job: bool = False
     reason: str = ""
 
 
--- /dev/null
+++ b/test/scheduler/test_differential.py
@@ -0,0 +1,111 @@
+"""The scheduler against exhaustive search on small fleets."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from persimmonyard.model import Adjacency, ClientAccountSpec, Shape
+from test.scheduler.naive import NaiveScheduler
+from test.scheduler.world import World, job_of, upstream
+
+ADJACENCY = st.sampled_from(tuple(Adjacency))
+SHAPES = st.builds(
+    lambda gang, size, adjacency: Shape(gang, size, max(size, 1), 100, adjacency),
+    st.integers(1, 3),
+    st.integers(0, 4),
+    ADJACENCY,
+)
+FLEETS = st.lists(
+    st.tuples(
+        st.sampled_from(("z1", "z2")),
+        st.sampled_from(("r1", "r2")),
+        st.integers(1, 4),
+        st.integers(1, 4),
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+def specs_of(fleet):
+    """Return upstreams for tuples of zone, rack, accelerators and slots."""
+    specs = []
+    for number, (zone, rack, size, slots) in enumerate(fleet):
+        specs.append(upstream(f"u{number}", zone, rack, size, slots=slots))
+    return specs
+
+
+class DifferentialTests(unittest.TestCase):
+    @settings(max_examples=400, derandomize=True, deadline=None)
+    @given(FLEETS, st.lists(st.tuples(SHAPES, st.booleans()), max_size=8))
+    def test_places_whenever_exhaustive_search_does(self, fleet, jobs):
+        """A job that fits into what is free is placed in the same call.
+
+        Guards against an index that hides room from a search.
+        """
+        world = World()
+        for spec in specs_of(fleet):
+            world.add(spec)
+        for number, (shape, idempotent) in enumerate(jobs):
+            job = job_of(
+                f"r{number}",
+                "a",
+                shape.gang,
+                shape.accelerators,
+                shape.adjacency,
+                idempotent,
+            )
+            expected = world.naive().can_place(job)
+            held_back = bool(world.scheduler.held_requests())
+            world.submit(job)
+            world.decide()
+            placed = job.request_id in world.running
+            if idempotent or not held_back:
+                self.assertEqual(placed, expected, job)
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(FLEETS, st.lists(st.lists(SHAPES, max_size=3), min_size=1, max_size=3))
+    def test_accepts_whatever_guarantees_exhaustive_search_fits(self, fleet, shapes):
+        """A set of guarantees is accepted exactly if some layout holds it.
+
+        Guards against a greedy layout that refuses what fits, and against
+        one that accepts what does not.
+        """
+        world = World()
+        specs = specs_of(fleet)
+        for spec in specs:
+            world.add(spec)
+        accounts = []
+        for number, blocks in enumerate(shapes):
+            accounts.append(ClientAccountSpec(f"a{number}", guarantee=tuple(blocks)))
+        accepted = world.scheduler.check_guarantees(accounts) == []
+        feasible = NaiveScheduler(specs).guarantees_feasible(accounts)
+        self.assertEqual(accepted, feasible)
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(FLEETS, st.lists(SHAPES, min_size=1, max_size=4))
+    def test_lays_one_by_one_whatever_fits_together(self, fleet, shapes):
+        """Guarantees set one after another end up like one joint layout.
+
+        Guards against a layout that is not repaired when a later block needs
+        the room of an earlier one.
+        """
+        world = World()
+        specs = specs_of(fleet)
+        for spec in specs:
+            world.add(spec)
+        taken = []
+        for number, shape in enumerate(shapes):
+            account = ClientAccountSpec(f"a{number}", guarantee=(shape,))
+            feasible = NaiveScheduler(specs).guarantees_feasible([*taken, account])
+            self.assertEqual(world.set_account(account.name, shape), feasible)
+            if feasible:
+                taken.append(account)
+            world.decide()
+            self.assertEqual(world.scheduler.guarantees_at_risk(), [])
+        world.check_guarantees()
+
+
+if __name__ == "__main__":
+    unittest.main()
