Test each rule of the scheduler, and give accounts their turns

Cause: the count of tries of an account was lost between its turns, so a burst of one account used up a whole call. Change: count tries by account; unit tests of guarantees, order, gangs, zones, quarantine and refusals.

--- a/packages/scheduler/src/persimmonyard/scheduler/books.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -80,9 +80,8 @@
                 return True
             if urgent and covers(add(node.free, node.calm_borrowed), need):
                 return True
-            if group.client_account in node.cells_by_account:
-                if covers(node.home_room(group.client_account), need):
-                    return True
+            if covers(node.home_room(group.client_account), need):
+                return True
         return False
 
     def _gang_may_fit(self, node: Node, shape: Shape) -> bool:
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -222,14 +222,16 @@
         for urgency, account in self._books.queue.accounts():
             heads.append((urgency.tier, 0, urgency, account))
         heapq.heapify(heads)
+        tries_by_account: dict[str, int] = {}
         tries = 0
         while heads and tries < MAX_TRIES and len(decisions) < MAX_DECISIONS:
-            _, tried, urgency, account = heapq.heappop(heads)
+            _, _, urgency, account = heapq.heappop(heads)
             tries += 1
+            tries_by_account[account] = tries_by_account.get(account, 0) + 1
             self._try(urgency.request_id, now, decisions)
             head = self._books.queue.head(account)
             if head is not None:
-                turn = (tried + 1) // TRIES_IN_A_ROW
+                turn = tries_by_account[account] // TRIES_IN_A_ROW
                 heapq.heappush(heads, (head.tier, turn, head, account))
 
     def _try(self, request_id: str, now: float, decisions: list[Decision]) -> None:
--- /dev/null
+++ b/test/scheduler/test_scheduler.py
@@ -0,0 +1,335 @@
+"""Decisions of the scheduler, one rule at a time."""
+
+import unittest
+
+from persimmonyard.model import Adjacency, ClassSpec, Shape
+from persimmonyard.scheduler import (
+    AttemptPlaced,
+    ClassChanged,
+    JobWaiting,
+    Place,
+    Preempt,
+    Quarantine,
+    Scheduler,
+    UpstreamUp,
+)
+from persimmonyard.scheduler.targets import DeclaredRunTimes
+from test.scheduler.world import World, job_of, upstream
+
+WHOLE = Shape(1, 4, 4, 100)
+
+
+class SchedulerTests(unittest.TestCase):
+    def setUp(self):
+        self.world = World(DeclaredRunTimes())
+        for spec in (
+            ClassSpec("urgent", start_within_s=7.3),
+            ClassSpec("soon", within_s=1_000.0),
+            ClassSpec("later", within_s=50_000.0),
+        ):
+            self.world.tell(ClassChanged(spec.name, spec))
+
+    def add(self, count, **fields):
+        """Register upstreams of four accelerators each."""
+        for number in range(count):
+            self.world.add(upstream(f"u{number}", **fields))
+
+    def submit(self, name, *args, **fields):
+        """Submit a job at the present time."""
+        job = job_of(name, *args, **({"submitted_at": self.world.now} | fields))
+        self.world.submit(job)
+        return job
+
+    def preempted(self):
+        """Return what was preempted so far, as request and checkpoint."""
+        found = []
+        for one in self.world.log:
+            if isinstance(one, Preempt):
+                found.append((one.request_id, one.checkpoint))
+        return found
+
+    def placed(self):
+        """Return the requests that were placed so far, in order."""
+        return [one.request_id for one in self.world.log if isinstance(one, Place)]
+
+    # Guarantees and borrowing.
+
+    def test_guarantee_is_reclaimed_from_the_cheapest_borrower(self):
+        """The owner preempts the task that loses least, with a checkpoint."""
+        self.add(2)
+        self.world.set_account("a", Shape(1, 2, 2, 100))
+        self.submit("dear", "b", 1, 4, declared_run_s=9_000.0)
+        self.submit("cheap", "b", 1, 4, checkpointable=True)
+        self.world.decide()
+        self.world.now += 500.0
+        self.submit("own", "a", 1, 2)
+        self.world.decide()
+        self.assertEqual(len(self.preempted()), 1)
+        self.world.settle(2)
+        self.assertIn("own", self.world.running)
+        self.assertNotIn("own", self.world.stopping)
+
+    def test_unstoppable_work_stays_off_guaranteed_capacity(self):
+        """Work that cannot be stopped waits although capacity is idle."""
+        self.add(1)
+        self.world.set_account("a", WHOLE)
+        self.submit("fixed", "b", idempotent=False)
+        self.world.decide()
+        self.assertNotIn("fixed", self.world.running)
+        self.submit("own", "a", idempotent=False)
+        self.world.decide()
+        self.assertIn("own", self.world.running)
+
+    def test_guarantee_at_risk_names_the_zone_and_is_restored(self):
+        """A zone out puts its blocks at risk, and back they are laid again."""
+        self.add(1, zone="z2")
+        self.world.set_account("a", WHOLE)
+        self.world.set_zone("z2", False)
+        problem = self.world.scheduler.guarantees_at_risk()[0]
+        self.assertEqual((problem.client_account, problem.block), ("a", 0))
+        self.assertIn("z2", problem.text)
+        self.world.set_zone("z2", True)
+        self.assertEqual(self.world.scheduler.guarantees_at_risk(), [])
+
+    def test_guarantee_that_does_not_fit_leaves_the_others_in_force(self):
+        """A refused proposal changes nothing, an unchanged one is accepted."""
+        self.add(1)
+        self.assertTrue(self.world.set_account("a", Shape(1, 3, 3, 100)))
+        self.assertFalse(self.world.set_account("b", Shape(1, 2, 2, 100)))
+        self.assertTrue(self.world.set_account("a", Shape(1, 3, 3, 100), quota=9))
+        self.world.check_guarantees()
+
+    def test_new_leader_keeps_work_inside_its_guarantee(self):
+        """A rebuilt scheduler lays the block under the work that runs."""
+        self.add(2)
+        self.world.set_account("a", WHOLE)
+        own = self.submit("own", "a", 1, 4)
+        self.world.decide()
+        where = self.world.log[-1].upstream_ids
+        world = World(DeclaredRunTimes())
+        world.set_zone("z1", True)
+        for spec in self.world.spec_by_id.values():
+            world.add(spec)
+        world.set_account("a", WHOLE)
+        world.tell(AttemptPlaced(own, 1, where, False, ("1",)))
+        world.tell(AttemptPlaced(job_of("old", "b"), 1, where, True, ("0",)))
+        world.submit(job_of("other", "b", 1, 4))
+        world.submit(job_of("more", "b", 1, 4, class_name="urgent"))
+        self.assertEqual(len(world.decide()), 1)
+
+    def test_quota_bounds_what_an_account_uses(self):
+        """Work over the quota waits with the reason, and follows later."""
+        self.add(2)
+        self.world.set_account("a", quota=4)
+        self.submit("first", "a", 1, 3)
+        self.submit("second", "a", 1, 2)
+        self.world.decide()
+        reason = self.world.scheduler.why_waiting("second")
+        self.assertEqual(reason.code, "quota")
+        self.world.end("first")
+        self.world.decide()
+        self.assertIn("second", self.world.running)
+
+    # Order and urgency.
+
+    def test_urgent_work_preempts_what_is_not_urgent(self):
+        """Urgent work starts at once, by stopping a borrower."""
+        self.add(1)
+        self.submit("calm", "b", 1, 4, checkpointable=True)
+        self.world.decide()
+        self.submit("first", "a", 1, 4, class_name="urgent")
+        self.world.decide()
+        self.assertEqual(self.preempted(), [("calm", True)])
+        self.world.finish_preempted()
+        self.world.decide()
+        self.assertIn("first", self.world.running)
+        self.submit("second", "c", 1, 4, class_name="urgent")
+        self.world.decide()
+        self.assertEqual(len(self.preempted()), 1)
+
+    def test_less_time_left_goes_first(self):
+        """Order follows time left against run time, not arrival."""
+        self.add(1)
+        self.submit("later", "a", 1, 4, class_name="later")
+        self.submit("long", "a", 1, 4, class_name="later", declared_run_s=49_990.0)
+        self.submit("soon", "a", 1, 4, class_name="soon")
+        for _ in range(3):
+            self.world.decide()
+            self.world.end(next(iter(self.world.running)))
+        self.assertEqual(self.placed(), ["long", "soon", "later"])
+
+    def test_burst_of_one_account_leaves_another_its_turn(self):
+        """A burst of earlier jobs does not use up a call for others."""
+        self.add(30)
+        for number in range(200):
+            self.submit(f"burst-{number}", "a", class_name="soon")
+        self.submit("single", "b", class_name="later")
+        decisions = self.world.decide()
+        self.assertEqual(len(decisions), 64)
+        self.assertIn("single", self.world.running)
+        self.assertEqual(self.world.scheduler.next_wakeup(), self.world.now)
+
+    # Gangs.
+
+    def test_waiting_gang_is_not_starved_by_small_work(self):
+        """Unstoppable work that would outlast the hold is kept out."""
+        self.add(2)
+        fixed = {"idempotent": False, "declared_run_s": 100.0}
+        self.submit("s1", "b", 1, 4, **fixed)
+        self.world.decide()
+        self.submit("gang", "a", 2, 4, Adjacency.RACK, class_name="soon")
+        self.world.decide()
+        self.submit("long", "c", 1, 4, **(fixed | {"declared_run_s": 5_000.0}))
+        self.submit("short", "d", 1, 2, **(fixed | {"declared_run_s": 50.0}))
+        self.submit("calm", "e", 1, 2, declared_run_s=9_000.0)
+        self.world.decide()
+        self.assertEqual(sorted(self.world.running), ["calm", "s1", "short"])
+        self.world.end("s1")
+        self.world.end("short")
+        self.world.settle(3)
+        self.assertIn("gang", self.world.running)
+        self.assertEqual(self.preempted(), [("calm", False)])
+
+    def test_checkpointable_work_moves_aside_for_a_gang(self):
+        """Two halves are joined when the wait saved is worth the move."""
+        self.add(2)
+        self.world.add(upstream("u9", rack="r2", accelerators=2))
+        rest = {"declared_run_s": 90_000.0, "checkpointable": True}
+        self.submit("blocker", "b", 1, 2, avoid=frozenset({"u0", "u1"}), **rest)
+        self.world.decide()
+        self.submit("mover", "b", 1, 2, **rest)
+        self.world.decide()
+        self.world.end("blocker")
+        self.submit("gang", "a", 2, 4, Adjacency.RACK)
+        self.world.decide()
+        self.assertEqual(self.preempted(), [("mover", True)])
+        self.world.settle(2)
+        self.assertIn("gang", self.world.running)
+        self.assertIn("mover", self.world.running)
+
+    # Zones and upstreams.
+
+    def test_zone_out_moves_work_at_a_bounded_rate(self):
+        """Ten tasks a second are moved while there is room elsewhere.
+
+        What cannot be stopped finishes.
+        """
+        self.add(10)
+        for number in range(40):
+            self.submit(f"r{number}", "a", 1, 1, idempotent=number > 0)
+        for _ in range(3):
+            self.world.decide()
+        for number in range(5):
+            self.world.add(upstream(f"v{number}", zone="z2"))
+        self.world.set_zone("z1", False)
+        for _ in range(5):
+            self.world.decide(0.2)
+        self.assertLessEqual(len(self.preempted()), 20)
+        self.assertGreaterEqual(len(self.preempted()), 10)
+        self.world.settle(60, 0.2)
+        self.assertEqual(len(self.preempted()), 20)
+        self.assertNotIn(("r0", False), self.preempted())
+        self.assertEqual(len(self.world.running), 40)
+
+    def test_zone_back_is_warmed_up(self):
+        """A zone that is back takes few placements at first, then all."""
+        self.add(10)
+        self.world.set_zone("z1", False)
+        for number in range(40):
+            self.submit(f"r{number}", "a")
+        self.world.decide()
+        self.world.set_zone("z1", True)
+        for _ in range(10):
+            self.world.decide(0.1)
+        early = len(self.world.running)
+        self.assertIn(early, range(1, 8))
+        for _ in range(80):
+            self.world.decide(0.25)
+        self.assertEqual(len(self.world.running), 40)
+
+    def test_upstream_that_fails_everything_is_quarantined_and_probed(self):
+        """Failures of three jobs close an upstream; one job then probes it."""
+        self.add(1)
+        for number in range(3):
+            self.submit(f"r{number}", "abc"[number], 1, 4)
+            self.world.decide()
+            self.world.end(f"r{number}", "failed", ("u0",))
+            self.world.cancel(f"r{number}")
+        decision = self.world.decide()[0]
+        self.assertIsInstance(decision, Quarantine)
+        self.submit("fixed", "d", idempotent=False)
+        self.submit("probe", "a")
+        self.submit("wait", "b")
+        self.world.decide(1.0)
+        self.assertEqual(self.world.running, {})
+        self.world.decide(decision.until - self.world.now)
+        self.assertEqual(list(self.world.running), ["probe"])
+        self.world.end("probe")
+        self.world.decide()
+        self.assertEqual(sorted(self.world.running), ["fixed", "wait"])
+
+    # Jobs that cannot run.
+
+    def test_job_that_never_fits_is_refused_and_others_wait(self):
+        """502 counts absent upstreams; with none registered a job waits."""
+        self.submit("early", "a")
+        self.world.decide()
+        reason = self.world.scheduler.why_waiting("early")
+        self.assertEqual(reason.code, "no_upstream")
+        self.add(2)
+        self.world.lose("u1")
+        self.submit("huge", "a", 1, 5)
+        self.submit("both", "a", 2, 4)
+        self.world.decide()
+        self.assertEqual(self.world.refused, {"huge": 502})
+        self.assertIn("early", self.world.running)
+        reason = self.world.scheduler.why_waiting("both")
+        self.assertEqual(reason.code, "no_capacity")
+
+    def test_avoided_upstream_is_used_only_as_the_last_choice(self):
+        """A job avoids where it failed, unless nothing else could run it."""
+        self.add(2)
+        self.submit("r1", "a", 1, 4, avoid=frozenset({"u0"}))
+        self.submit("r2", "a", 2, 4, avoid=frozenset({"u0"}))
+        self.world.decide()
+        self.assertEqual(self.world.log[0].upstream_ids, ("u1",))
+        self.world.end("r1")
+        self.world.decide()
+        self.assertEqual(self.world.log[1].upstream_ids, ("u0", "u1"))
+
+    # The interface.
+
+    def test_rejected_placement_is_decided_again_with_its_number(self):
+        """The number of recorded attempts wins over the scheduler's count."""
+        self.add(1)
+        job = self.submit("r1", "a", attempts=0)
+        self.world.decide()
+        self.world.end("r1", "never_began")
+        again = self.world.scheduler.decide(self.world.now)
+        self.assertEqual([one.number for one in again], [1])
+        self.world.tell(JobWaiting(job))
+        self.assertEqual(self.world.scheduler.decide(self.world.now), [])
+
+    def test_parked_jobs_cost_nothing_until_capacity_is_freed(self):
+        """A job that did not fit is not due again by itself."""
+        scheduler = Scheduler()
+        scheduler.observe(UpstreamUp(upstream("u0")), 0.0)
+        for number in range(3):
+            scheduler.observe(JobWaiting(job_of(f"r{number}", "a", 1, 3)), 0.0)
+        self.assertEqual(len(scheduler.decide(0.0)), 1)
+        self.assertIsNone(scheduler.next_wakeup())
+
+    def test_victim_that_does_not_end_releases_its_claim(self):
+        """After a minute without an end the job is planned again."""
+        self.add(1)
+        self.submit("calm", "b", 1, 4)
+        self.world.decide()
+        self.submit("first", "a", 1, 4, class_name="urgent")
+        self.world.decide()
+        self.assertEqual(self.world.scheduler.why_waiting("first").code, "reclaiming")
+        self.world.decide(61.0)
+        self.assertEqual(len(self.preempted()), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
