Bound the layout search of one call and wake what waits for the layout

Change: one budget for all blocks of a call, a wake-up after settling, and evacuation of replayed attempts; fuzzing checks that nothing that fits waits.

--- a/packages/scheduler/src/persimmonyard/scheduler/books.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -157,8 +157,10 @@
 
     def settle_layout(self, limit: int) -> None:
         """Lay pending blocks, then match the kinds of running work."""
-        if self.layout.pending:
+        if self.layout.pending and limit:
             self.layout.settle(limit)
+            # Work that cannot be stopped waits for the layout.
+            self.wake_all = True
         if self.layout.pending:
             return
         while self.layout.moved:
--- a/packages/scheduler/src/persimmonyard/scheduler/facts.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/facts.py
@@ -223,7 +223,11 @@
             books.work.drop_claim(request_id)
         books.queue.remove(request_id)
         books.next_number_by_id[request_id] = event.number + 1
-        books.work.start(self._task_of(event, now))
+        task = self._task_of(event, now)
+        books.work.start(task)
+        for node in books.fleet.nodes(task.members):
+            if node.leaving or node.zone in books.fleet.closed_zones:
+                books.evacuee_zone_by_id[request_id] = node.zone
 
     def _task_of(self, event: AttemptPlaced, now: float) -> Task:
         job = event.job
--- a/packages/scheduler/src/persimmonyard/scheduler/layout.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/layout.py
@@ -11,7 +11,7 @@
 
 from persimmonyard.model import Shape
 from persimmonyard.scheduler.fleet import Fleet, Node, View
-from persimmonyard.scheduler.layout_search import Demand, search_layout
+from persimmonyard.scheduler.layout_search import Budget, Demand, search_layout
 from persimmonyard.scheduler.placement import Members, search_index, search_nodes
 from persimmonyard.scheduler.vector import (
     ZERO,
@@ -106,17 +106,23 @@
 
     def settle(self, limit: int) -> None:
         """Lay at most ``limit`` pending blocks, the largest first."""
+        budget = Budget(STEPS_TO_SETTLE)
         waiting = sorted(self.pending, key=self._order)
         for key in waiting[:limit]:
+            if key not in self.pending:
+                continue
             del self.pending[key]
             block = self.block_by_key[key]
-            if self.lay(block):
+            if self.lay(block) or self._lay_with(block, budget):
                 self.at_risk.pop(key, None)
                 continue
-            if self._lay_all(STEPS_TO_SETTLE):
-                return
             self.at_risk[key] = None
 
+    def _lay_with(self, block: Block, budget: Budget) -> bool:
+        """Lay a block by moving the others; return whether all fit."""
+        blocks = [one for one in self.block_by_key.values() if one.members is not None]
+        return self._lay_anew([*blocks, block], budget)
+
     def _order(self, key: BlockKey) -> tuple[int, int, BlockKey]:
         shape = self.block_by_key[key].shape
         return (-shape.gang * shape.accelerators, -shape.accelerators, key)
@@ -175,27 +181,24 @@
             self.moved.append((block.key.account, node_id))
         block.members = None
 
-    def _lay_all(self, steps: int) -> bool:
-        """Lay every block anew by search; return whether all of them fit.
+    def _lay_anew(self, blocks: list[Block], budget: Budget) -> bool:
+        """Lay blocks anew by search; return whether all of them fit.
 
         Work inside its account's guarantee is moved only if there is no
         layout around it.
         """
-        demands = []
-        for key in sorted(self.block_by_key, key=self._order):
-            demands.append(Demand(key, self.block_by_key[key].shape))
-        found = search_layout(self.fleet, demands, steps, around_home=True)
+        blocks = sorted(blocks, key=lambda one: self._order(one.key))
+        demands = [Demand(one.key, one.shape) for one in blocks]
+        found = search_layout(self.fleet, demands, budget, around_home=True)
         if found is None:
-            found = search_layout(self.fleet, demands, steps)
+            found = search_layout(self.fleet, demands, budget)
         if found is None:
             return False
-        for block in self.block_by_key.values():
+        for block in blocks:
             if block.members is not None:
                 self._lift(block)
-        for demand, members in zip(demands, found, strict=True):
-            self._put(self.block_by_key[BlockKey(*demand.key)], members)
-        self.pending.clear()
-        self.at_risk.clear()
+        for block, members in zip(blocks, found, strict=True):
+            self._put(block, members)
         return True
 
     def make_room(self, account: str, need: Vector, members: Members) -> bool:
@@ -207,7 +210,10 @@
         nodes = self.fleet.nodes(members)
         for node in nodes:
             self.fleet.pin(node, account, scale(need, members[node.node_id]))
-        fits = self._lay_away(nodes) or self._lay_all(STEPS_TO_MAKE_ROOM)
+        laid = [one for one in self.block_by_key.values() if one.members is not None]
+        fits = self._lay_away(nodes)
+        if not fits:
+            fits = self._lay_anew(laid, Budget(STEPS_TO_MAKE_ROOM))
         for node in nodes:
             self.fleet.pin(node, account, scale(need, -members[node.node_id]))
             self.fleet.refresh(node)
@@ -220,7 +226,7 @@
                 if covers(node.open(), ZERO):
                     break
                 block = self.block_by_key[key]
-                if key.account in node.pinned_by_account or block.members is None:
+                if block.members is None or self._in_use(block):
                     continue
                 if len(lifted) == MAX_BLOCKS_MOVED:
                     break
@@ -332,7 +338,7 @@
         demands.sort(
             key=lambda one: (-one.shape.gang * one.shape.accelerators, one.key)
         )
-        return search_layout(self.fleet, demands, STEPS_TO_CHECK) is not None
+        return search_layout(self.fleet, demands, Budget(STEPS_TO_CHECK)) is not None
 
 
 def _room(node: Node, account: str, shape: Shape) -> int:
--- a/packages/scheduler/src/persimmonyard/scheduler/layout_search.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/layout_search.py
@@ -17,7 +17,7 @@
     times,
 )
 
-__all__ = ["Demand", "search_layout"]
+__all__ = ["Budget", "Demand", "search_layout"]
 
 # The search is complete for fleets of a few instances, and a second try after
 # the greedy layout on larger ones.  Beyond this size it would end without a
@@ -32,23 +32,26 @@
     shape: Shape
 
 
-class _Budget:
+class Budget:
+    """Partial layouts that may still be looked at."""
+
     def __init__(self, steps: int) -> None:
         self.steps = steps
 
     def spend(self) -> bool:
+        """Take one step; return whether it was left."""
         self.steps -= 1
         return self.steps >= 0
 
 
 def search_layout(
-    fleet: Fleet, demands: list[Demand], steps: int, around_home: bool = False
+    fleet: Fleet, demands: list[Demand], budget: Budget, around_home: bool = False
 ) -> list[Members] | None:
     """Return members for every demand, or ``None`` if none were found.
 
-    At most ``steps`` partial layouts are looked at.  All cells are laid anew
-    around the work that cannot be stopped, and with ``around_home`` also
-    around the work that stands inside its account's guarantee.
+    The search ends without a result when ``budget`` is spent.  All cells are
+    laid anew around the work that cannot be stopped, and with ``around_home``
+    also around the work that stands inside its account's guarantee.
     """
     nodes = [node for node in fleet.node_by_id.values() if fleet.sound(node)]
     if len(nodes) > MAX_NODES:
@@ -63,7 +66,7 @@
             if not around_home:
                 amount = node.unstoppable(account)
             pinned[(account, node.node_id)] = amount
-    if _lay_from(nodes, demands, pinned, cells, found, _Budget(steps)):
+    if _lay_from(nodes, demands, pinned, cells, found, budget):
         return found
     return None
 
@@ -74,7 +77,7 @@
     pinned: dict[tuple[str, str], Vector],
     cells: dict[tuple[str, str], Vector],
     found: list[Members],
-    budget: _Budget,
+    budget: Budget,
 ) -> bool:
     if len(found) == len(demands):
         return True
--- a/packages/scheduler/src/persimmonyard/scheduler/targets.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/targets.py
@@ -72,15 +72,22 @@
     if spec.within_s is not None:
         latest = job.submitted_at + spec.within_s - run_s
     elif spec.done_by is not None:
-        latest = _next_time_of_day(spec.done_by, job.submitted_at) - run_s
+        done_by = _next_time_of_day(spec.done_by, job.submitted_at)
+        if done_by is not None:
+            latest = done_by - run_s
     if spec.start_within_s is not None:
         latest = min(latest, job.submitted_at + spec.start_within_s)
     return latest
 
 
-def _next_time_of_day(time_of_day: str, after: float) -> float:
-    """Return the next ``HH:MM`` UTC after a time in seconds."""
+def _next_time_of_day(time_of_day: str, after: float) -> float | None:
+    """Return the next ``HH:MM`` UTC after a time in seconds.
+
+    ``None`` stands for a text of another form.
+    """
     hours, _, minutes = time_of_day.partition(":")
+    if not (hours.isdecimal() and minutes.isdecimal()):
+        return None
     midnight = after - after % DAY_S
     at = midnight + int(hours) * 3_600 + int(minutes) * 60
     if at <= after:
--- a/test/scheduler/test_fuzz.py
+++ b/test/scheduler/test_fuzz.py
@@ -162,6 +162,21 @@
         self.world.set_zone(zone, in_service)
         self.world.tell(ZoneChanged(zone, in_service))
 
+    @rule()
+    def come_to_rest(self):
+        """Decide until nothing changes; then no job waits that fits."""
+        before = None
+        for _ in range(200):
+            self.world.decide(1.0)
+            self.world.finish_preempted()
+            known = (sorted(self.world.running.items()), len(self.world.log))
+            wakeup = self.world.scheduler.next_wakeup()
+            busy = wakeup is not None and wakeup <= self.world.now
+            if known == before and not busy and not self.world.is_warming():
+                break
+            before = known
+        self.world.check_nothing_left()
+
     @precondition(lambda self: self.idle_blocks())
     @rule(data=st.data())
     def reclaim(self, data):
@@ -202,8 +217,8 @@
 
 SchedulerTests = SchedulerMachine.TestCase
 SchedulerTests.settings = settings(
-    max_examples=60,
-    stateful_step_count=25,
+    max_examples=250,
+    stateful_step_count=30,
     derandomize=True,
     deadline=None,
     suppress_health_check=list(HealthCheck),
--- a/test/scheduler/world.py
+++ b/test/scheduler/world.py
@@ -17,6 +17,7 @@
     JobWaiting,
     Place,
     Preempt,
+    Quarantine,
     Refuse,
     Scheduler,
     UpstreamDown,
@@ -84,6 +85,8 @@
         self.numbers = {}
         self.stopping = {}
         self.refused = {}
+        self.quarantined = set()
+        self.opened_at = 0.0
         # Requests inside a guarantee around which no layout was left after
         # the guarantees or the fleet had changed.
         self.disturbed = set()
@@ -112,8 +115,14 @@
         self.tell(UpstreamLeaving(name))
         self.note_disturbed()
 
+    def is_warming(self):
+        """Return whether a zone was put back less than a minute ago."""
+        return self.now < self.opened_at + 60.0
+
     def set_zone(self, zone, in_service):
         """Take a zone out of service or put it back."""
+        if in_service and zone in self.closed:
+            self.opened_at = self.now
         self.closed.discard(zone)
         if not in_service:
             self.closed.add(zone)
@@ -178,6 +187,10 @@
                     self._place(decision)
                 case Preempt():
                     self._preempt(decision)
+                case Quarantine(upstream_id, until, _):
+                    self.quarantined.discard(upstream_id)
+                    if until > self.now:
+                        self.quarantined.add(upstream_id)
                 case Refuse(request_id, code, _):
                     self.refused[request_id] = code
                     assert not self.ever_fits(self.job_by_id[request_id].shape)
@@ -191,6 +204,17 @@
             self.decide(step_s)
             self.finish_preempted()
 
+    def check_nothing_left(self):
+        """Fail if a job that fits into what is free still waits."""
+        naive = self.naive()
+        for request_id in sorted(self.waiting):
+            job = self.job_by_id[request_id]
+            if not (job.idempotent or job.checkpointable):
+                continue
+            avoid = job.avoid | self.quarantined
+            where = next(naive.placements(job.shape, avoid), None)
+            assert where is None, f"{request_id} waits, but fits on {where}"
+
     def _place(self, decision):
         request_id = decision.request_id
         job = self.job_by_id[request_id]
