--- a/test/scheduler/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -1,6 +1,7 @@
 """Decisions of the scheduler, one rule at a time."""
 
 import unittest
+from random import Random
 
 from persimmonyard.model import Adjacency, ClassSpec, Shape
 from persimmonyard.scheduler import (
@@ -13,7 +14,13 @@
     Scheduler,
     UpstreamUp,
 )
+from persimmonyard.scheduler.fragmentation import (
+    Demand,
+    FreeCapacity,
+    stranded_accelerators,
+)
 from persimmonyard.scheduler.targets import DeclaredRunTimes
+from test.scheduler.naive import NaiveScheduler
 from test.scheduler.world import World, job_of, upstream
 
 WHOLE = Shape(1, 4, 4, 100)
@@ -80,6 +87,33 @@
         self.world.decide()
         self.assertIn("own", self.world.running)
 
+    def test_unstoppable_gang_leaves_the_cells_of_its_rack_alone(self):
+        """A gang that cannot be stopped takes only what is unneeded."""
+        self.add(2)
+        self.world.set_account("a", Shape(1, 2, 2, 100))
+        self.submit("gang", "b", 2, 2, Adjacency.RACK, idempotent=False)
+        self.world.decide()
+        self.assertIn("gang", self.world.running)
+        self.world.check_guarantees()
+
+    def test_work_inside_its_guarantee_is_never_the_victim(self):
+        """A dear borrower is preempted rather than cheap work at home."""
+        self.add(1)
+        half = Shape(1, 2, 2, 100)
+        self.world.set_account("a", half)
+        self.world.set_account("b", half)
+        self.submit("borrower", "c", 1, 2)
+        self.world.decide()
+        self.submit("home", "b", 1, 2, checkpointable=True)
+        self.world.decide(9_000.0)
+        self.submit("own", "a", 1, 2)
+        self.world.decide()
+        self.assertEqual(self.preempted(), [("borrower", False)])
+        self.world.settle(2)
+        self.submit("urgent", "d", 1, 1, class_name="urgent")
+        self.world.decide()
+        self.assertEqual(len(self.preempted()), 1)
+
     def test_unused_block_gives_way_to_unstoppable_work(self):
         """A block is laid elsewhere if that makes room for other work."""
         self.add(1)
@@ -221,6 +255,38 @@
         self.assertIn("gang", self.world.running)
         self.assertIn("mover", self.world.running)
 
+    def test_placement_strands_fewer_accelerators_than_first_fit(self):
+        """Tight fits leave whole instances for the largest jobs.
+
+        Guards against a search that spreads small tasks over the fleet.
+        """
+        self.add(12)
+        first_fit = NaiveScheduler(self.world.spec_by_id.values())
+        random = Random(7)
+        places = {}
+        ours = theirs = 0.0
+        for number in range(200):
+            job = self.submit(f"r{number}", "a", 1, random.choice((1, 1, 2, 3)))
+            self.world.decide()
+            places[job.request_id] = next(first_fit.placements(job.shape)), job.shape
+            first_fit.occupy(*places[job.request_id])
+            if len(places) > 14:
+                gone = random.choice(sorted(places))
+                first_fit.release(*places.pop(gone))
+                self.world.cancel(gone)
+            ours += self.stranded(self.world.naive())
+            theirs += self.stranded(first_fit)
+        self.assertLess(ours, theirs)
+
+    def stranded(self, fleet):
+        """Return the share of free accelerators that whole jobs cannot use."""
+        instances = []
+        for name, free in fleet.free_by_id.items():
+            spec = fleet.spec_by_id[name]
+            slots = fleet.slots_by_id[name]
+            instances.append(FreeCapacity(spec.zone, spec.rack, free, slots))
+        return stranded_accelerators(instances, [Demand(WHOLE)]).share()
+
     # Zones and upstreams.
 
     def test_zone_out_moves_work_at_a_bounded_rate(self):
