Number freed capacity, so that only news wakes a group

Cause: while any job was ready, every upstream freed since counted for every group, so all groups were tried again without end. Change: a log of freed upstreams with numbers; a group is compared only with what came free after its last failed search.

--- a/packages/scheduler/src/persimmonyard/scheduler/books.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -1,8 +1,9 @@
 """Everything that the scheduler knows, shared by its parts."""
 
-from persimmonyard.model import Adjacency, ClassSpec, ClientAccountSpec, Shape
+from persimmonyard.model import ClassSpec, ClientAccountSpec, Shape
 from persimmonyard.scheduler.events import Job
-from persimmonyard.scheduler.fleet import Fleet, Node, View
+from persimmonyard.scheduler.fleet import Fleet, Node
+from persimmonyard.scheduler.freed import Freed
 from persimmonyard.scheduler.holds import Holds
 from persimmonyard.scheduler.layout import Layout
 from persimmonyard.scheduler.placement import can_ever_fit
@@ -15,23 +16,11 @@
     is_urgent,
     latest_start,
 )
-from persimmonyard.scheduler.vector import (
-    ZERO,
-    Vector,
-    add,
-    covers,
-    highest,
-    member_need,
-)
 from persimmonyard.scheduler.work import Kind, Work
 from persimmonyard.scheduler.zones import ZonePace
 
 __all__ = ["Books"]
 
-# With more freed upstreams than this the search itself is cheaper than to
-# compare each of them.
-MAX_HOT = 64
-
 
 class Books:
     """The fleet, running and waiting work, guarantees and configuration."""
@@ -48,16 +37,9 @@
         self.pace = ZonePace()
         self.class_by_name: dict[str, ClassSpec] = {}
         self.account_by_name: dict[str, ClientAccountSpec] = {}
-        # Upstreams where capacity has come free, and those among them whose
-        # capacity the jobs that were woken are tried for.
-        self.freed_ids: set[str] = set()
-        self.hot_ids: set[str] = set()
-        self._most_free: Vector = ZERO
-        self._reachable: Vector = ZERO
-        self._owners: set[str] = set()
+        self.freed = Freed(self.fleet)
         # Owners of holds on upstreams where capacity has come free.
         self.holders: set[str] = set()
-        self.wake_all = False
         # Work to move away, with the zone that it is moved out of.
         self.evacuee_zone_by_id: dict[str, str] = {}
         # Requests whose attempt has ended since the last decision.
@@ -68,68 +50,19 @@
 
     def note_freed(self, node: Node) -> None:
         """Remember that waiting work may fit on a node."""
-        self.freed_ids.add(node.node_id)
+        self.freed.note(node.node_id)
         holder = self.holds.owner(node)
         if holder is not None:
             self.holders.add(holder)
 
-    def look_at_freed(self) -> None:
-        """Summarise the freed upstreams for ``could_help``."""
-        self._most_free = ZERO
-        self._reachable = ZERO
-        self._owners = set()
-        if len(self.hot_ids) > MAX_HOT:
-            return
-        for node in self.fleet.nodes(self.hot_ids):
-            self._most_free = highest(self._most_free, node.free)
-            offered = add(node.free, node.calm_borrowed)
-            self._reachable = highest(self._reachable, offered)
-            self._owners.update(node.cells_by_account)
-
-    def could_help(self, group: GroupKey) -> bool:
-        """Return whether freed capacity may be enough for a group's jobs.
-
-        It compares amounts on the freed upstreams only, so that a job that
-        still does not fit costs no search.
-        """
-        if len(self.hot_ids) > MAX_HOT:
-            return True
-        need = member_need(group.shape)
-        urgent = is_urgent(self.class_by_name.get(group.class_name))
-        bound = self._reachable if urgent else self._most_free
-        if not covers(bound, need) and group.client_account not in self._owners:
-            return False
-        for node in self.fleet.nodes(self.hot_ids):
-            if not self.fleet.usable(node):
-                continue
-            if covers(node.free, need) and self._gang_may_fit(node, group.shape):
-                return True
-            if urgent and covers(add(node.free, node.calm_borrowed), need):
-                return True
-            if covers(node.home_room(group.client_account), need):
-                return True
-        return False
-
-    def _gang_may_fit(self, node: Node, shape: Shape) -> bool:
-        if shape.gang == 1:
-            return True
-        need = member_need(shape)
-        match shape.adjacency:
-            case Adjacency.RACK:
-                index = self.fleet.index(node.zone, View.FREE)
-                return index.members(need, node.rack) >= shape.gang
-            case Adjacency.ZONE:
-                index = self.fleet.index(node.zone, View.FREE)
-                return index.members(need) >= shape.gang
-        total = 0
-        for _, index in self.fleet.indexes(View.FREE):
-            total += index.members(need)
-        return total >= shape.gang
-
     def urgent(self, job: Job) -> bool:
         """Return whether a job belongs to an urgent class."""
         return is_urgent(self.class_by_name.get(job.class_name))
 
+    def urgent_group(self, group: GroupKey) -> bool:
+        """Return whether a group's class is urgent."""
+        return is_urgent(self.class_by_name.get(group.class_name))
+
     def fleet_changed(self) -> None:
         """Forget which shapes can ever fit."""
         self._fits_by_shape.clear()
@@ -160,7 +93,7 @@
         if self.layout.pending and limit:
             self.layout.settle(limit)
             # Work that cannot be stopped waits for the layout.
-            self.wake_all = True
+            self.freed.note_everywhere()
         if self.layout.pending:
             return
         while self.layout.moved:
--- a/packages/scheduler/src/persimmonyard/scheduler/facts.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/facts.py
@@ -148,7 +148,7 @@
             books.fleet.refresh_zone(zone)
             books.pace.opened(zone, now)
             books.layout.capacity_grew()
-            books.wake_all = True
+            books.freed.note_everywhere()
             return
         books.fleet.closed_zones.add(zone)
         books.pace.closed(zone)
@@ -179,7 +179,7 @@
         if before != after:
             books.layout.set_guarantee(name, after)
             books.layout.capacity_grew()
-            books.wake_all = True
+            books.freed.note_everywhere()
         books.queue.wake_account(name)
 
     # Requests and attempts.
@@ -205,7 +205,8 @@
         books = self._books
         books.queue.remove(request_id)
         books.next_number_by_id.pop(request_id, None)
-        books.freed_ids.update(books.holds.drop(request_id))
+        for node_id in books.holds.drop(request_id):
+            books.freed.note(node_id)
         if request_id in books.work.claim_by_id:
             books.work.drop_claim(request_id)
 
--- /dev/null
+++ b/packages/scheduler/src/persimmonyard/scheduler/freed.py
@@ -0,0 +1,129 @@
+"""Capacity that has come free, and whom it could help."""
+
+from collections import OrderedDict
+
+from persimmonyard.model import Adjacency, Shape
+from persimmonyard.scheduler.fleet import Fleet, Node, View
+from persimmonyard.scheduler.queue import GroupKey
+from persimmonyard.scheduler.vector import (
+    ZERO,
+    Vector,
+    add,
+    covers,
+    highest,
+    member_need,
+)
+
+__all__ = ["Freed"]
+
+# With more freed upstreams than this a search is cheaper than to compare each
+# of them.
+MAX_LOGGED = 64
+
+
+class Freed:
+    """A log of upstreams whose available capacity may have grown.
+
+    Entries are numbered.  A group of jobs that failed at number ``since`` is
+    tried again only if a later entry could help it.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.number = 0
+        self._looked_at = 0
+        # Groups that failed at an earlier number are always tried again.
+        self._floor = 0
+        self._number_by_id: OrderedDict[str, int] = OrderedDict()
+        self._most_free: Vector = ZERO
+        self._reachable: Vector = ZERO
+        self._owners: set[str] = set()
+
+    def note(self, node_id: str) -> None:
+        """Log that capacity has come free on an upstream."""
+        self.number += 1
+        self._number_by_id[node_id] = self.number
+        self._number_by_id.move_to_end(node_id)
+        if len(self._number_by_id) > MAX_LOGGED:
+            _, dropped = self._number_by_id.popitem(last=False)
+            self._floor = max(self._floor, dropped)
+
+    def note_everywhere(self) -> None:
+        """Log a change that could help every group."""
+        self.number += 1
+        self._floor = self.number
+
+    def has_news(self) -> bool:
+        """Return whether anything was logged since the last look."""
+        return self.number > self._looked_at
+
+    def look(self) -> int:
+        """Summarise what is new; return the number of the last look."""
+        before = self._looked_at
+        self._looked_at = self.number
+        self._most_free = ZERO
+        self._reachable = ZERO
+        self._owners = set()
+        for node in self._since(before):
+            self._most_free = highest(self._most_free, node.free)
+            offered = add(node.free, node.calm_borrowed)
+            self._reachable = highest(self._reachable, offered)
+            self._owners.update(node.cells_by_account)
+        return before
+
+    def is_news_for(self, group: GroupKey, urgent: bool, before: int) -> bool:
+        """Return whether what the last look found could help a group.
+
+        ``before`` is the number that the look returned.
+        """
+        if self._floor > before:
+            return True
+        bound = self._reachable if urgent else self._most_free
+        fits = covers(bound, member_need(group.shape))
+        if not fits and group.client_account not in self._owners:
+            return False
+        return self.could_help(group, urgent, before)
+
+    def could_help(self, group: GroupKey, urgent: bool, since: int) -> bool:
+        """Return whether capacity freed later may be enough for a group.
+
+        It compares amounts on the freed upstreams only, so that a job that
+        still does not fit costs no search.
+        """
+        if self._floor > since:
+            return True
+        need = member_need(group.shape)
+        for node in self._since(since):
+            if not self._fleet.usable(node):
+                continue
+            if covers(node.free, need) and self._gang_may_fit(node, group.shape):
+                return True
+            if urgent and covers(add(node.free, node.calm_borrowed), need):
+                return True
+            if covers(node.home_room(group.client_account), need):
+                return True
+        return False
+
+    def _since(self, number: int) -> list[Node]:
+        nodes = []
+        for node_id in reversed(self._number_by_id):
+            if self._number_by_id[node_id] <= number:
+                break
+            nodes.append(self._fleet.node_by_id[node_id])
+        return nodes
+
+    def _gang_may_fit(self, node: Node, shape: Shape) -> bool:
+        if shape.gang == 1:
+            return True
+        need = member_need(shape)
+        match shape.adjacency:
+            case Adjacency.RACK:
+                index = self._fleet.index(node.zone, View.FREE)
+                return index.members(need, node.rack) >= shape.gang
+            case Adjacency.ZONE:
+                index = self._fleet.index(node.zone, View.FREE)
+                return index.members(need) >= shape.gang
+        total = 0
+        for _, index in self._fleet.indexes(View.FREE):
+            total += index.members(need)
+        return total >= shape.gang
--- a/packages/scheduler/src/persimmonyard/scheduler/queue.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/queue.py
@@ -62,6 +62,7 @@
         self._parked_ids: set[str] = set()
         self._probes_by_group: dict[GroupKey, str] = {}
         self._reason_by_group: dict[GroupKey, Reason] = {}
+        self._failed_at_by_group: dict[GroupKey, int] = {}
 
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._entry_by_id
@@ -164,19 +165,27 @@
         self._ready_by_account.pop(account, None)
         return None
 
-    def park(self, request_id: str, reason: Reason) -> None:
-        """Set a ready job aside, with its group, until capacity is freed."""
+    def park(self, request_id: str, reason: Reason, failed_at: int | None) -> None:
+        """Set a ready job aside, with its group, until it is woken.
+
+        ``failed_at`` numbers the log of freed capacity at its failed search;
+        ``None`` if it waits for something else.
+        """
         entry = self._entry_by_id[request_id]
         self._ready_ids.discard(request_id)
         if self._probes_by_group.get(entry.group) == request_id:
             del self._probes_by_group[entry.group]
         self._park(entry)
         self._reason_by_group[entry.group] = reason
+        if failed_at is None:
+            self._failed_at_by_group.pop(entry.group, None)
+        else:
+            self._failed_at_by_group[entry.group] = failed_at
 
-    def park_again(self, request_id: str) -> None:
+    def park_again(self, request_id: str, failed_at: int) -> None:
         """Set a probe aside again, for the reason that its group has."""
         group = self._entry_by_id[request_id].group
-        self.park(request_id, self._reason_by_group.get(group, QUEUED))
+        self.park(request_id, self._reason_by_group.get(group, QUEUED), failed_at)
 
     def wake(self, could_help: Callable[[GroupKey], bool]) -> None:
         """Make one job ready of each group that freed capacity could help."""
@@ -190,10 +199,12 @@
             self._parked_ids.discard(request_id)
             self._make_ready(self._entry_by_id[request_id])
 
-    def is_probe(self, request_id: str) -> bool:
-        """Return whether a ready job was parked before with its group."""
+    def failed_at(self, request_id: str) -> int | None:
+        """Return when a probe's group last failed, ``None`` for other jobs."""
         group = self._entry_by_id[request_id].group
-        return self._probes_by_group.get(group) == request_id
+        if self._probes_by_group.get(group) != request_id:
+            return None
+        return self._failed_at_by_group.get(group)
 
     def wake_account(self, account: str) -> None:
         """Make one job ready of each group of an account."""
@@ -222,6 +233,7 @@
             self._parked_by_group.pop(group, None)
             if group not in self._probes_by_group:
                 self._reason_by_group.pop(group, None)
+                self._failed_at_by_group.pop(group, None)
 
     def why_waiting(self, request_id: str) -> Reason | None:
         """Return why a job waits, ``None`` if it does not wait."""
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -17,6 +17,7 @@
 from persimmonyard.scheduler.facts import Facts
 from persimmonyard.scheduler.moves import Moves
 from persimmonyard.scheduler.planner import LAYOUT_PENDING, NO_CAPACITY, Plan, Planner
+from persimmonyard.scheduler.queue import GroupKey
 from persimmonyard.scheduler.targets import RunTimes
 from persimmonyard.scheduler.vector import member_need, times
 from persimmonyard.scheduler.work import Kind, Task, stoppable
@@ -86,7 +87,7 @@
         books = self._books
         if books.queue.any_ready() or books.layout.pending or books.ended:
             return self._decided_at
-        if books.wake_all or (books.freed_ids and len(books.queue)):
+        if books.freed.has_news() and len(books.queue):
             return self._decided_at
         times_due = []
         delayed = books.queue.next_due()
@@ -205,20 +206,18 @@
         books.queue.due(now)
         if books.pace.warming() and now >= self._warmed_at + WARM_UP_TICK_S:
             self._warmed_at = now
-            books.wake_all = True
-        if not books.queue.any_ready():
-            books.hot_ids.clear()
-        books.hot_ids |= books.freed_ids
-        if books.wake_all:
-            books.hot_ids |= set(books.fleet.node_by_id)
+            books.freed.note_everywhere()
         for request_id in sorted(books.holders):
             books.queue.wake_job(request_id)
-        if books.freed_ids or books.wake_all:
-            books.look_at_freed()
-            books.queue.wake(books.could_help)
         books.holders.clear()
-        books.freed_ids.clear()
-        books.wake_all = False
+        if not books.freed.has_news():
+            return
+        before = books.freed.look()
+
+        def could_help(group: GroupKey) -> bool:
+            return books.freed.is_news_for(group, books.urgent_group(group), before)
+
+        books.queue.wake(could_help)
 
     def _try_jobs(self, now: float, decisions: list[Decision]) -> None:
         """Try ready jobs, the accounts by turns."""
@@ -245,23 +244,27 @@
         books = self._books
         job = books.queue.job(request_id)
         group = books.queue.group(request_id)
-        if books.queue.is_probe(request_id) and not books.could_help(group):
-            books.queue.park_again(request_id)
-            return
+        since = books.queue.failed_at(request_id)
+        if since is not None:
+            urgent = books.urgent_group(group)
+            if not books.freed.could_help(group, urgent, since):
+                books.queue.park_again(request_id, books.freed.number)
+                return
         if books.fleet.node_by_id and not books.ever_fits(job.shape):
             self._refuse(job, decisions)
             return
         problem = self._quota_problem(job)
         if problem is not None:
-            books.queue.park(request_id, problem)
+            books.queue.park(request_id, problem, None)
             return
+        failed_at = books.freed.number
         plan = self._planner.plan(job, now)
         if plan is None:
             books.holds.consider(job, now)
             plan = self._moves.plan(job, now)
         if plan is None:
             self._failed_searches += 1
-            books.queue.park(request_id, self._why_not(job))
+            books.queue.park(request_id, self._why_not(job), failed_at)
             return
         self._carry_out(job, plan, now, decisions)
 
@@ -271,7 +274,8 @@
         books = self._books
         group = books.queue.group(job.request_id)
         books.queue.remove(job.request_id)
-        books.freed_ids.update(books.holds.drop(job.request_id))
+        for node_id in books.holds.drop(job.request_id):
+            books.freed.note(node_id)
         books.queue.wake_group(group)
         if not plan.victims:
             self._place(job, plan, now, decisions)
