--- a/test/scheduler/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -5,6 +5,7 @@
 
 from persimmonyard.model import Adjacency, ClassSpec, Shape
 from persimmonyard.scheduler import (
+    AttemptEnded,
     AttemptPlaced,
     ClassChanged,
     JobWaiting,
@@ -148,22 +149,34 @@
         self.world.check_guarantees()
 
     def test_new_leader_keeps_work_inside_its_guarantee(self):
-        """A rebuilt scheduler lays the block under the work that runs."""
+        """A rebuilt scheduler lays the block under the work that runs.
+
+        Members on an earlier start of an upstream take no capacity.
+        """
         self.add(2)
         self.world.set_account("a", WHOLE)
-        own = self.submit("own", "a", 1, 4)
-        self.world.decide()
-        where = self.world.log[-1].upstream_ids
-        world = World(DeclaredRunTimes())
-        world.set_zone("z1", True)
-        for spec in self.world.spec_by_id.values():
-            world.add(spec)
-        world.set_account("a", WHOLE)
-        world.tell(AttemptPlaced(own, 1, where, False, ("1",)))
-        world.tell(AttemptPlaced(job_of("old", "b"), 1, where, True, ("0",)))
-        world.submit(job_of("other", "b", 1, 4))
-        world.submit(job_of("more", "b", 1, 4, class_name="urgent"))
-        self.assertEqual(len(world.decide()), 1)
+        own = job_of("own", "a", 1, 4)
+        self.world.job_by_id["own"] = own
+        self.world.tell(AttemptPlaced(own, 1, ("u1",), False, ("1",)))
+        old = job_of("old", "b", 1, 4)
+        self.world.tell(AttemptPlaced(old, 1, ("u0",), True, ("0",)))
+        self.submit("other", "b", 1, 4)
+        self.submit("more", "b", 1, 4, class_name="urgent")
+        self.world.decide()
+        self.assertEqual(self.placed(), ["more"])
+        self.assertEqual(self.preempted(), [])
+
+    def test_late_end_of_an_earlier_attempt_frees_nothing(self):
+        """Only the end of the attempt that runs releases its members."""
+        self.add(1)
+        self.submit("r1", "a", 1, 4)
+        self.world.decide()
+        self.world.end("r1", "never_began")
+        self.world.decide()
+        self.world.tell(AttemptEnded("r1", 1, "never_began", 0.0))
+        self.submit("r2", "b", 1, 4)
+        self.world.decide()
+        self.assertEqual(list(self.world.running), ["r1"])
 
     def test_quota_bounds_what_an_account_uses(self):
         """Work over the quota waits with the reason, and follows later."""
