--- a/packages/daemon/src/persimmonyard/daemon/control/ledger.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/ledger.py
@@ -10,6 +10,7 @@
     NotLeaderError,
     OutcomeUnknownError,
     Replica,
+    Role,
 )
 from persimmonyard.state import Change, StateMachine
 from persimmonyard.state.commands import CommandResult, LogRecord, encode_record
@@ -42,14 +43,14 @@
         self.machine = StateMachine()
         self.controllers: list[Controller] = []
         self.replica: Replica | None = None
-        self.leading = False
+        self._led_term: int | None = None
         self._logger = get_logger("ledger")
 
     def apply(self, index: int, entry: bytes) -> Any:
         """Apply a committed entry."""
         result = self.machine.apply(index, entry)
         changes = self.machine.drain_changes()
-        if self.leading and changes:
+        if self._led_term is not None and changes:
             for controller in self.controllers:
                 controller.changed(changes)
         return result
@@ -67,21 +68,38 @@
 
         Reads are answered and leases granted only while this is true.
         """
-        return self.leading and self.replica is not None and self.replica.is_leader()
+        if self._led_term is None or self.replica is None:
+            return False
+        return self.replica.is_leader()
 
     def check_leadership(self) -> None:
-        """Start or stop the controllers when leadership has changed."""
-        assert self.replica is not None
-        leads = self.replica.is_leader()
-        if leads == self.leading:
+        """Start or stop the controllers when leadership has changed.
+
+        A lease that lapses for a moment within one term stops decisions,
+        but nobody else can have led meanwhile, so controllers keep what they
+        know.
+        """
+        term = self._leading_term()
+        if term == self._led_term:
             return
-        self.leading = leads
-        self._logger.info("leadership changed", leading=leads)
-        for controller in self.controllers:
-            if leads:
-                controller.lead()
-            else:
+        self._logger.info("leadership changed", term=term, before=self._led_term)
+        if self._led_term is not None:
+            self._led_term = None
+            for controller in self.controllers:
                 controller.follow()
+        if term is not None:
+            self._led_term = term
+            for controller in self.controllers:
+                controller.lead()
+
+    def _leading_term(self) -> int | None:
+        assert self.replica is not None
+        status = self.replica.status()
+        if status.role != Role.LEADER:
+            return None
+        if status.term == self._led_term or self.replica.is_leader():
+            return status.term
+        return None
 
     async def commit(self, command: Any, identity: str = "") -> CommandResult:
         """Return the result of a command after it is committed.
--- a/packages/daemon/src/persimmonyard/daemon/control/sessions.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/sessions.py
@@ -49,7 +49,9 @@
             if change.kind != ChangeKind.CONFIGURATION:
                 continue
             for session in self.session_by_entry.values():
-                self._push_configuration(session)
+                update = self._next_update(session)
+                if update is not None:
+                    session.push(update)
 
     # Streams.
 
@@ -72,12 +74,11 @@
     def beat(self, session: EntrySession, beat: EntryBeat, assigned: int) -> None:
         """Extend a session and answer the beat.
 
-        The update goes out before the lease: an entry that sees the lease
+        The update travels with the lease: an entry that sees the lease
         extended has the version that was current when it was granted.
         """
         if session.closed:
             return
-        self._push_configuration(session)
         session.expires_at = self._expiry()
         session.stopping = beat.stopping
         session.confirmed_version = beat.configuration_version
@@ -92,6 +93,7 @@
             LeaderBeat(
                 beat.sequence,
                 ENTRY_LEASE_S,
+                self._next_update(session),
                 outcomes=tuple(outcomes),
                 assigned=assigned,
             )
@@ -162,10 +164,11 @@
     def _expiry(self) -> float:
         return self._ledger.clock() + ENTRY_LEASE_S * CLOCK_MARGIN
 
-    def _push_configuration(self, session: EntrySession) -> None:
+    def _next_update(self, session: EntrySession) -> ConfigurationUpdate | None:
+        """Return what the entry has not been sent yet."""
         version = self._ledger.machine.configuration.version
         if session.sent_version >= version:
-            return
+            return None
         changes = self._changes_after(session.sent_version)
         full = changes is None
         if changes is None:
@@ -174,10 +177,10 @@
             version=version,
             changes=tuple(changes),
             full=full,
-            base_version=session.sent_version,
+            base=session.sent_version,
         )
         session.sent_version = version
-        session.push(update)
+        return update
 
     def _changes_after(self, version: int) -> list[ConfigurationChange] | None:
         """Return the changes since ``version``, or ``None`` if forgotten."""
--- a/test/daemon/test_sessions.py
+++ b/test/daemon/test_sessions.py
@@ -53,10 +53,7 @@
     def test_new_leader_waits_for_leases_of_the_old_one(self):
         """Entries unknown to a new leader may still hold a lease."""
         version = self.control.configure(ZONE_OUT).version
-        self.control.replica.leads = False
-        self.control.ledger.check_leadership()
-        self.control.replica.leads = True
-        self.control.ledger.check_leadership()
+        self.control.re_elect()
         self.assertFalse(self.sessions.in_force(version))
         self.control.now += FULL_LEASE_S
         self.assertTrue(self.sessions.in_force(version))
@@ -67,6 +64,15 @@
         self.control.replica.leads = False
         self.assertFalse(self.sessions.in_force(version))
 
+    def test_lease_that_lapses_within_a_term_keeps_sessions(self):
+        """A slow answer of a replica must not make entries connect again."""
+        session = self.open("e1", 1)
+        self.control.replica.leads = False
+        self.control.ledger.check_leadership()
+        self.control.replica.leads = True
+        self.control.ledger.check_leadership()
+        self.assertFalse(session.closed)
+
     def test_update_is_sent_before_the_lease_is_extended(self):
         """An extended lease must imply the version of the time it was granted.
 
@@ -79,13 +85,20 @@
         update, reply = self.messages(session)
         self.assertEqual((update.update.version, reply.sequence), (version, 2))
 
+    def test_first_lease_carries_the_current_version(self):
+        """An entry that reconnects gets no lease on an older version."""
+        version = self.control.configure(ZONE_OUT).version
+        session = self.open("e1", 1)
+        (reply,) = self.messages(session)
+        self.assertEqual((reply.sequence, reply.update.version), (1, version))
+
     def test_reconnecting_entry_gets_only_what_it_misses(self):
         """A reconnect sends the changes after the entry's version."""
         self.control.configure(ZONE_OUT)
         session = self.open("e1", 1)
         update = self.messages(session)[0].update
         self.assertEqual(
-            (update.full, update.base_version, update.changes),
+            (update.full, update.base, update.changes),
             (False, 1, (ZONE_OUT,)),
         )
 
--- a/test/daemon/test_whole_path.py
+++ b/test/daemon/test_whole_path.py
@@ -19,7 +19,7 @@
     def setUpClass(cls):
         folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(folder.cleanup)
-        cls.deployment = Deployment(Path(folder.name), controls=1, entries=2)
+        cls.deployment = Deployment(Path(folder.name), controls=3, entries=2)
         cls.addClassCleanup(cls.deployment.stop)
         cls.deployment.start()
         cls.deployment.start_upstream("up-1", "karen-bench", "rack-1")
