--- a/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -195,8 +195,12 @@
                 continue
             if self._assignments.pick_entry() is None:
                 continue
-            decisions = self.scheduler.decide(time.time())
-            await asyncio.gather(*(self._carry_out(one) for one in decisions))
+            await self.decide_once()
+
+    async def decide_once(self) -> None:
+        """Commit the decisions of one call of the scheduler."""
+        decisions = self.scheduler.decide(time.time())
+        await asyncio.gather(*(self._carry_out(one) for one in decisions))
 
     async def _wait(self) -> None:
         due = self.scheduler.next_wakeup()
--- a/packages/scheduler/src/persimmonyard/scheduler/events.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/events.py
@@ -143,8 +143,8 @@
 
     ``outcome`` is ``finished``, ``never_began``, ``failed``, ``lost``,
     ``stopped`` or ``checkpointed``; ``failed_on`` names the upstreams of the
-    members at fault.  ``job`` is given for attempts that ended before this
-    scheduler existed: they only add to its history.
+    members at fault.  ``job`` is given for attempts that may have ended before
+    this scheduler knew of them: they only add to its history.
     """
 
     request_id: str
--- a/packages/scheduler/src/persimmonyard/scheduler/facts.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/facts.py
@@ -261,10 +261,9 @@
 
     def _attempt_ended(self, event: AttemptEnded, now: float) -> None:
         task = self._books.work.task_by_id.get(event.request_id)
-        if event.job is not None:
-            self._note_outcome(event.job, event, (), now)
-            return
         if task is None or task.number != event.number:
+            if event.job is not None:
+                self._note_outcome(event.job, event, (), now)
             return
         self._note_outcome(task.job, event, task.upstream_ids, now)
         self._end(event.request_id, now)
