--- a/packages/scheduler/src/persimmonyard/scheduler/books.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -3,19 +3,19 @@
 from persimmonyard.model import ClassSpec, ClientAccountSpec, Shape
 from persimmonyard.scheduler.events import Job
 from persimmonyard.scheduler.fleet import Fleet, Node
+from persimmonyard.scheduler.freed import Freed
 from persimmonyard.scheduler.holds import Holds
 from persimmonyard.scheduler.layout import Layout
 from persimmonyard.scheduler.placement import can_ever_fit
 from persimmonyard.scheduler.prediction import RunTimePredictor
 from persimmonyard.scheduler.probation import Probation
-from persimmonyard.scheduler.queue import WaitingQueue
+from persimmonyard.scheduler.queue import GroupKey, WaitingQueue
 from persimmonyard.scheduler.targets import (
     HistoryRunTimes,
     RunTimes,
     is_urgent,
     latest_start,
 )
-from persimmonyard.scheduler.vector import ZERO, Vector, add, highest
 from persimmonyard.scheduler.work import Kind, Work
 from persimmonyard.scheduler.zones import ZonePace
 
@@ -37,10 +37,9 @@
         self.pace = ZonePace()
         self.class_by_name: dict[str, ClassSpec] = {}
         self.account_by_name: dict[str, ClientAccountSpec] = {}
-        # The largest amount that a freed upstream offers since the last
-        # decision, with what borrowers use there.
-        self.reachable: Vector | None = None
-        self.wake_all = False
+        self.freed = Freed(self.fleet)
+        # Owners of holds on upstreams where capacity has come free.
+        self.holders: set[str] = set()
         # Work to move away, with the zone that it is moved out of.
         self.evacuee_zone_by_id: dict[str, str] = {}
         # Requests whose attempt has ended since the last decision.
@@ -51,13 +50,19 @@
 
     def note_freed(self, node: Node) -> None:
         """Remember that waiting work may fit on a node."""
-        offered = add(node.free, node.borrowed)
-        self.reachable = highest(self.reachable or ZERO, offered)
+        self.freed.note(node.node_id)
+        holder = self.holds.owner(node)
+        if holder is not None:
+            self.holders.add(holder)
 
     def urgent(self, job: Job) -> bool:
         """Return whether a job belongs to an urgent class."""
         return is_urgent(self.class_by_name.get(job.class_name))
 
+    def urgent_group(self, group: GroupKey) -> bool:
+        """Return whether a group's class is urgent."""
+        return is_urgent(self.class_by_name.get(group.class_name))
+
     def fleet_changed(self) -> None:
         """Forget which shapes can ever fit."""
         self._fits_by_shape.clear()
@@ -80,13 +85,15 @@
     def give_up_claim(self, request_id: str, now: float) -> None:
         """Return a claim's capacity; its job is tried again if it waits."""
         claim = self.work.drop_claim(request_id)
-        if request_id not in self.work.task_by_id:
+        if not claim.awaits_job:
             self.enqueue(claim.job, now)
 
     def settle_layout(self, limit: int) -> None:
         """Lay pending blocks, then match the kinds of running work."""
-        if self.layout.pending:
+        if self.layout.pending and limit:
             self.layout.settle(limit)
+            # Work that cannot be stopped waits for the layout.
+            self.freed.note_everywhere()
         if self.layout.pending:
             return
         while self.layout.moved:
--- a/packages/scheduler/src/persimmonyard/scheduler/facts.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/facts.py
@@ -148,7 +148,7 @@
             books.fleet.refresh_zone(zone)
             books.pace.opened(zone, now)
             books.layout.capacity_grew()
-            books.wake_all = True
+            books.freed.note_everywhere()
             return
         books.fleet.closed_zones.add(zone)
         books.pace.closed(zone)
@@ -179,7 +179,7 @@
         if before != after:
             books.layout.set_guarantee(name, after)
             books.layout.capacity_grew()
-            books.wake_all = True
+            books.freed.note_everywhere()
         books.queue.wake_account(name)
 
     # Requests and attempts.
@@ -197,6 +197,7 @@
         claim = books.work.claim_by_id.get(request_id)
         if claim is not None:
             claim.job = job
+            claim.awaits_job = False
             return
         books.enqueue(job, now)
 
@@ -204,8 +205,8 @@
         books = self._books
         books.queue.remove(request_id)
         books.next_number_by_id.pop(request_id, None)
-        if books.holds.drop(request_id):
-            books.wake_all = True
+        for node_id in books.holds.drop(request_id):
+            books.freed.note(node_id)
         if request_id in books.work.claim_by_id:
             books.work.drop_claim(request_id)
 
@@ -223,7 +224,11 @@
             books.work.drop_claim(request_id)
         books.queue.remove(request_id)
         books.next_number_by_id[request_id] = event.number + 1
-        books.work.start(self._task_of(event, now))
+        task = self._task_of(event, now)
+        books.work.start(task)
+        for node in books.fleet.nodes(task.members):
+            if node.leaving or node.zone in books.fleet.closed_zones:
+                books.evacuee_zone_by_id[request_id] = node.zone
 
     def _task_of(self, event: AttemptPlaced, now: float) -> Task:
         job = event.job
@@ -256,10 +261,9 @@
 
     def _attempt_ended(self, event: AttemptEnded, now: float) -> None:
         task = self._books.work.task_by_id.get(event.request_id)
-        if event.job is not None:
-            self._note_outcome(event.job, event, (), now)
-            return
         if task is None or task.number != event.number:
+            if event.job is not None:
+                self._note_outcome(event.job, event, (), now)
             return
         self._note_outcome(task.job, event, task.upstream_ids, now)
         self._end(event.request_id, now)
--- a/packages/scheduler/src/persimmonyard/scheduler/layout.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/layout.py
@@ -11,7 +11,7 @@
 
 from persimmonyard.model import Shape
 from persimmonyard.scheduler.fleet import Fleet, Node, View
-from persimmonyard.scheduler.layout_search import Demand, search_layout
+from persimmonyard.scheduler.layout_search import Budget, Demand, search_layout
 from persimmonyard.scheduler.placement import Members, search_index, search_nodes
 from persimmonyard.scheduler.vector import (
     ZERO,
@@ -32,6 +32,9 @@
 STEPS_TO_SETTLE = 5_000
 STEPS_TO_CHECK = 20_000
 
+# Blocks laid elsewhere to make room for one job.
+MAX_BLOCKS_MOVED = 8
+
 
 class BlockKey(NamedTuple):
     """The account of a block and its place in the account's guarantee."""
@@ -103,17 +106,23 @@
 
     def settle(self, limit: int) -> None:
         """Lay at most ``limit`` pending blocks, the largest first."""
+        budget = Budget(STEPS_TO_SETTLE)
         waiting = sorted(self.pending, key=self._order)
         for key in waiting[:limit]:
+            if key not in self.pending:
+                continue
             del self.pending[key]
             block = self.block_by_key[key]
-            if self.lay(block):
+            if self.lay(block) or self._lay_with(block, budget):
                 self.at_risk.pop(key, None)
                 continue
-            if self._lay_all(STEPS_TO_SETTLE):
-                return
             self.at_risk[key] = None
 
+    def _lay_with(self, block: Block, budget: Budget) -> bool:
+        """Lay a block by moving the others; return whether all fit."""
+        blocks = [one for one in self.block_by_key.values() if one.members is not None]
+        return self._lay_anew([*blocks, block], budget)
+
     def _order(self, key: BlockKey) -> tuple[int, int, BlockKey]:
         shape = self.block_by_key[key].shape
         return (-shape.gang * shape.accelerators, -shape.accelerators, key)
@@ -172,21 +181,24 @@
             self.moved.append((block.key.account, node_id))
         block.members = None
 
-    def _lay_all(self, steps: int) -> bool:
-        """Lay every block anew by search; return whether all of them fit."""
-        demands = []
-        for key in sorted(self.block_by_key, key=self._order):
-            demands.append(Demand(key, self.block_by_key[key].shape))
-        found = search_layout(self.fleet, demands, steps)
+    def _lay_anew(self, blocks: list[Block], budget: Budget) -> bool:
+        """Lay blocks anew by search; return whether all of them fit.
+
+        Work inside its account's guarantee is moved only if there is no
+        layout around it.
+        """
+        blocks = sorted(blocks, key=lambda one: self._order(one.key))
+        demands = [Demand(one.key, one.shape) for one in blocks]
+        found = search_layout(self.fleet, demands, budget, around_home=True)
+        if found is None:
+            found = search_layout(self.fleet, demands, budget)
         if found is None:
             return False
-        for block in self.block_by_key.values():
+        for block in blocks:
             if block.members is not None:
                 self._lift(block)
-        for demand, members in zip(demands, found, strict=True):
-            self._put(self.block_by_key[BlockKey(*demand.key)], members)
-        self.pending.clear()
-        self.at_risk.clear()
+        for block, members in zip(blocks, found, strict=True):
+            self._put(block, members)
         return True
 
     def make_room(self, account: str, need: Vector, members: Members) -> bool:
@@ -198,21 +210,26 @@
         nodes = self.fleet.nodes(members)
         for node in nodes:
             self.fleet.pin(node, account, scale(need, members[node.node_id]))
-        fits = self._lay_away(nodes) or self._lay_all(STEPS_TO_MAKE_ROOM)
+        laid = [one for one in self.block_by_key.values() if one.members is not None]
+        fits = self._lay_away(nodes)
+        if not fits:
+            fits = self._lay_anew(laid, Budget(STEPS_TO_MAKE_ROOM))
         for node in nodes:
             self.fleet.pin(node, account, scale(need, -members[node.node_id]))
             self.fleet.refresh(node)
         return fits
 
     def _lay_away(self, nodes: list[Node]) -> bool:
-        lifted = []
+        lifted: list[tuple[Block, Members]] = []
         for node in nodes:
             for key in sorted(self.keys_by_node.get(node.node_id, ())):
                 if covers(node.open(), ZERO):
                     break
                 block = self.block_by_key[key]
-                if key.account in node.pinned_by_account or block.members is None:
+                if block.members is None or self._in_use(block):
                     continue
+                if len(lifted) == MAX_BLOCKS_MOVED:
+                    break
                 lifted.append((block, block.members))
                 self._lift(block)
         fits = all(covers(node.open(), ZERO) for node in nodes)
@@ -321,7 +338,7 @@
         demands.sort(
             key=lambda one: (-one.shape.gang * one.shape.accelerators, one.key)
         )
-        return search_layout(self.fleet, demands, STEPS_TO_CHECK) is not None
+        return search_layout(self.fleet, demands, Budget(STEPS_TO_CHECK)) is not None
 
 
 def _room(node: Node, account: str, shape: Shape) -> int:
--- a/packages/scheduler/src/persimmonyard/scheduler/queue.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/queue.py
@@ -1,12 +1,12 @@
 """Waiting jobs: who is tried next, and who waits for what."""
 
 import heapq
+from collections.abc import Callable
 from typing import NamedTuple
 
 from persimmonyard.model import Shape
 from persimmonyard.scheduler.decisions import Reason
 from persimmonyard.scheduler.events import Job
-from persimmonyard.scheduler.vector import Vector, covers, member_need
 from persimmonyard.scheduler.work import stoppable
 
 __all__ = ["GroupKey", "Urgency", "WaitingQueue"]
@@ -62,6 +62,7 @@
         self._parked_ids: set[str] = set()
         self._probes_by_group: dict[GroupKey, str] = {}
         self._reason_by_group: dict[GroupKey, Reason] = {}
+        self._failed_at_by_group: dict[GroupKey, int] = {}
 
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._entry_by_id
@@ -164,25 +165,47 @@
         self._ready_by_account.pop(account, None)
         return None
 
-    def park(self, request_id: str, reason: Reason) -> None:
-        """Set a ready job aside, with its group, until capacity is freed."""
+    def park(self, request_id: str, reason: Reason, failed_at: int | None) -> None:
+        """Set a ready job aside, with its group, until it is woken.
+
+        ``failed_at`` numbers the log of freed capacity at its failed search;
+        ``None`` if it waits for something else.
+        """
         entry = self._entry_by_id[request_id]
         self._ready_ids.discard(request_id)
         if self._probes_by_group.get(entry.group) == request_id:
             del self._probes_by_group[entry.group]
         self._park(entry)
         self._reason_by_group[entry.group] = reason
-
-    def wake(self, reachable: Vector | None) -> None:
-        """Make one job ready of each group that freed capacity could help.
-
-        ``reachable`` bounds what one freed upstream offers, with what its
-        borrowers use; ``None`` wakes every group.
-        """
+        if failed_at is None:
+            self._failed_at_by_group.pop(entry.group, None)
+        else:
+            self._failed_at_by_group[entry.group] = failed_at
+
+    def park_again(self, request_id: str, failed_at: int) -> None:
+        """Set a probe aside again, for the reason that its group has."""
+        group = self._entry_by_id[request_id].group
+        self.park(request_id, self._reason_by_group.get(group, QUEUED), failed_at)
+
+    def wake(self, could_help: Callable[[GroupKey], bool]) -> None:
+        """Make one job ready of each group that freed capacity could help."""
         for group in list(self._parked_by_group):
-            if reachable is None or covers(reachable, member_need(group.shape)):
+            if group not in self._probes_by_group and could_help(group):
                 self.wake_group(group)
 
+    def wake_job(self, request_id: str) -> None:
+        """Make one parked job ready."""
+        if request_id in self._parked_ids:
+            self._parked_ids.discard(request_id)
+            self._make_ready(self._entry_by_id[request_id])
+
+    def failed_at(self, request_id: str) -> int | None:
+        """Return when a probe's group last failed, ``None`` for other jobs."""
+        group = self._entry_by_id[request_id].group
+        if self._probes_by_group.get(group) != request_id:
+            return None
+        return self._failed_at_by_group.get(group)
+
     def wake_account(self, account: str) -> None:
         """Make one job ready of each group of an account."""
         for group in list(self._parked_by_group):
@@ -210,6 +233,7 @@
             self._parked_by_group.pop(group, None)
             if group not in self._probes_by_group:
                 self._reason_by_group.pop(group, None)
+                self._failed_at_by_group.pop(group, None)
 
     def why_waiting(self, request_id: str) -> Reason | None:
         """Return why a job waits, ``None`` if it does not wait."""
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -17,6 +17,7 @@
 from persimmonyard.scheduler.facts import Facts
 from persimmonyard.scheduler.moves import Moves
 from persimmonyard.scheduler.planner import LAYOUT_PENDING, NO_CAPACITY, Plan, Planner
+from persimmonyard.scheduler.queue import GroupKey
 from persimmonyard.scheduler.targets import RunTimes
 from persimmonyard.scheduler.vector import member_need, times
 from persimmonyard.scheduler.work import Kind, Task, stoppable
@@ -27,6 +28,7 @@
 # long; ``next_wakeup`` asks for the next call at once.
 MAX_DECISIONS = 64
 MAX_TRIES = 64
+MAX_FAILED_SEARCHES = 8
 MAX_BLOCKS_LAID = 16
 
 # Jobs of one account that are tried in a row before another account's turn.
@@ -55,6 +57,7 @@
         self._moves = Moves(self._books, self._planner)
         self._decided_at = 0.0
         self._warmed_at = 0.0
+        self._failed_searches = 0
         self._ready_claims: list[str] = []
 
     def observe(self, event: Event, now: float) -> None:
@@ -73,6 +76,7 @@
         self._books.settle_layout(MAX_BLOCKS_LAID)
         self._expire_claims(now)
         self._place_claims(now, decisions)
+        self._moves.forget(now)
         self._wake(now)
         self._try_jobs(now, decisions)
         self._evacuation.run(now, decisions)
@@ -83,7 +87,7 @@
         books = self._books
         if books.queue.any_ready() or books.layout.pending or books.ended:
             return self._decided_at
-        if books.wake_all or (books.reachable is not None and len(books.queue)):
+        if books.freed.has_news() and len(books.queue):
             return self._decided_at
         times_due = []
         delayed = books.queue.next_due()
@@ -104,7 +108,7 @@
     def why_waiting(self, request_id: str) -> Reason | None:
         """Return why a request waits."""
         claim = self._books.work.claim_by_id.get(request_id)
-        if claim is not None and request_id not in self._books.work.task_by_id:
+        if claim is not None and not claim.awaits_job:
             count = len(claim.victims)
             return Reason("reclaiming", f"waits until {count} preempted tasks end")
         return self._books.queue.why_waiting(request_id)
@@ -160,6 +164,10 @@
             parts.append(f"{absent} registered upstreams that could help are absent")
         return "; ".join(parts)
 
+    def held_requests(self) -> list[str]:
+        """Return the waiting requests that capacity is held back for."""
+        return sorted(self._books.holds.hold_by_id)
+
     # Claims.
 
     def _place_claims(self, now: float, decisions: list[Decision]) -> None:
@@ -171,9 +179,7 @@
             claim = books.work.claim_by_id.get(request_id)
             if claim is None or claim.victims:
                 continue
-            if request_id in books.work.task_by_id:
-                continue
-            if claim.job.not_before > now:
+            if claim.awaits_job or claim.job.not_before > now:
                 waiting.append(request_id)
                 continue
             books.work.drop_claim(request_id)
@@ -200,13 +206,18 @@
         books.queue.due(now)
         if books.pace.warming() and now >= self._warmed_at + WARM_UP_TICK_S:
             self._warmed_at = now
-            books.wake_all = True
-        if books.wake_all:
-            books.queue.wake(None)
-        elif books.reachable is not None:
-            books.queue.wake(books.reachable)
-        books.wake_all = False
-        books.reachable = None
+            books.freed.note_everywhere()
+        for request_id in sorted(books.holders):
+            books.queue.wake_job(request_id)
+        books.holders.clear()
+        if not books.freed.has_news():
+            return
+        before = books.freed.look()
+
+        def could_help(group: GroupKey) -> bool:
+            return books.freed.is_news_for(group, books.urgent_group(group), before)
+
+        books.queue.wake(could_help)
 
     def _try_jobs(self, now: float, decisions: list[Decision]) -> None:
         """Try ready jobs, the accounts by turns."""
@@ -214,32 +225,46 @@
         for urgency, account in self._books.queue.accounts():
             heads.append((urgency.tier, 0, urgency, account))
         heapq.heapify(heads)
+        tries_by_account: dict[str, int] = {}
         tries = 0
+        self._failed_searches = 0
         while heads and tries < MAX_TRIES and len(decisions) < MAX_DECISIONS:
-            _, tried, urgency, account = heapq.heappop(heads)
+            if self._failed_searches >= MAX_FAILED_SEARCHES:
+                break
+            _, _, urgency, account = heapq.heappop(heads)
             tries += 1
+            tries_by_account[account] = tries_by_account.get(account, 0) + 1
             self._try(urgency.request_id, now, decisions)
             head = self._books.queue.head(account)
             if head is not None:
-                turn = (tried + 1) // TRIES_IN_A_ROW
+                turn = tries_by_account[account] // TRIES_IN_A_ROW
                 heapq.heappush(heads, (head.tier, turn, head, account))
 
     def _try(self, request_id: str, now: float, decisions: list[Decision]) -> None:
         books = self._books
         job = books.queue.job(request_id)
+        group = books.queue.group(request_id)
+        since = books.queue.failed_at(request_id)
+        if since is not None:
+            urgent = books.urgent_group(group)
+            if not books.freed.could_help(group, urgent, since):
+                books.queue.park_again(request_id, books.freed.number)
+                return
         if books.fleet.node_by_id and not books.ever_fits(job.shape):
             self._refuse(job, decisions)
             return
         problem = self._quota_problem(job)
         if problem is not None:
-            books.queue.park(request_id, problem)
+            books.queue.park(request_id, problem, None)
             return
+        failed_at = books.freed.number
         plan = self._planner.plan(job, now)
         if plan is None:
-            plan = self._moves.plan(job, now, decisions)
-        if plan is None:
-            books.queue.park(request_id, self._why_not(job))
             books.holds.consider(job, now)
+            plan = self._moves.plan(job, now)
+        if plan is None:
+            self._failed_searches += 1
+            books.queue.park(request_id, self._why_not(job), failed_at)
             return
         self._carry_out(job, plan, now, decisions)
 
@@ -249,8 +274,8 @@
         books = self._books
         group = books.queue.group(job.request_id)
         books.queue.remove(job.request_id)
-        if books.holds.drop(job.request_id):
-            books.wake_all = True
+        for node_id in books.holds.drop(job.request_id):
+            books.freed.note(node_id)
         books.queue.wake_group(group)
         if not plan.victims:
             self._place(job, plan, now, decisions)
