--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,54 @@
+"""Run the benchmarks, or the one that is named."""
+
+import importlib
+import importlib.util
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+MODULE_BY_NAME = {
+    "scheduler": "bench.scheduler",
+    "decision_cost": "bench.decision_cost",
+    "replication": "bench.replication",
+    "latency": "bench.requests",
+    "overload": "bench.requests",
+    "idle": "bench.idle",
+}
+
+
+def main(names: list[str]) -> int:
+    """Run the named benchmarks or all; return 1 if one fails or is unknown."""
+    unknown = [name for name in names if name not in MODULE_BY_NAME]
+    if unknown:
+        known = ", ".join(MODULE_BY_NAME)
+        print(f"unknown benchmark {unknown[0]!r}; known are {known}", file=sys.stderr)
+        return 1
+    status = 0
+    ran = set()
+    for name in names or MODULE_BY_NAME:
+        module_name = MODULE_BY_NAME[name]
+        print(f"== {name}", flush=True)
+        if module_name in ran:
+            print(f"measured above, with the rest of {module_name}")
+            continue
+        ran.add(module_name)
+        if importlib.util.find_spec(module_name) is None:
+            print("not present")
+            continue
+        status |= _run(name, module_name)
+    return status
+
+
+def _run(name: str, module_name: str) -> int:
+    try:
+        importlib.import_module(module_name).run()
+    except Exception as error:
+        print(f"{name} failed: {error!r}")
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
