--- a/packages/scheduler/src/persimmonyard/scheduler/events.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/events.py
@@ -32,6 +32,8 @@
 
     Times are in seconds on the clock that is passed to the scheduler.
     ``avoid`` holds upstreams on which the request failed before.
+    ``attempts`` is the number of attempts on record, ``None`` if the
+    scheduler is to count them itself.
     """
 
     request_id: str
@@ -44,13 +46,18 @@
     submitted_at: float
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
+    attempts: int | None = None
 
 
 @dataclass(frozen=True)
 class UpstreamUp:
-    """An upstream takes work, or announced new figures."""
+    """An upstream takes work, or announced new figures.
+
+    ``quarantined_until`` tells a new scheduler of a quarantine in force.
+    """
 
     spec: UpstreamSpec
+    quarantined_until: float | None = None
 
 
 @dataclass(frozen=True)
@@ -107,12 +114,18 @@
 
 @dataclass(frozen=True)
 class AttemptPlaced:
-    """An attempt occupies its members, also told when state is rebuilt."""
+    """An attempt occupies its members, also told when state is rebuilt.
+
+    ``incarnations`` names the start of each upstream that the attempt is on;
+    members of an earlier start occupy nothing.  Empty means the current one.
+    """
 
     job: Job
     number: int
     upstream_ids: tuple[str, ...]
     borrowed: bool
+    incarnations: tuple[str, ...] = ()
+    placed_at: float | None = None
 
 
 @dataclass(frozen=True)
@@ -130,7 +143,8 @@
 
     ``outcome`` is ``finished``, ``never_began``, ``failed``, ``lost``,
     ``stopped`` or ``checkpointed``; ``failed_on`` names the upstreams of the
-    members at fault.
+    members at fault.  ``job`` is given for attempts that ended before this
+    scheduler existed: they only add to its history.
     """
 
     request_id: str
@@ -138,6 +152,7 @@
     outcome: str
     run_s: float
     failed_on: tuple[str, ...] = ()
+    job: Job | None = None
 
 
 Event = (
