Put the bad worker of Nairobi into the zone that is taken out

Cause: one quarantined worker left five workers in a rack in service, so 8 of 136 accelerators fitted no waiting gang during the whole zone change and the share of possible work could not reach its aim. Change: the bad worker is in the zone that leaves.

--- a/bench/workload.py
+++ b/bench/workload.py
@@ -195,7 +195,7 @@
     build.cancel_wave(4.8, 0.8)
     build.add(250, 14.0, 16.0, "fit-check", clinics, check, 120.0, checkpointable=False)
     _add_faults(build, "fit-check", check, Shape(1, 16, 4, GIGABYTE_MB))
-    build.incident(2.0, "bad", "thika-annex/0/2")
+    build.incident(2.0, "bad", "ngong-store/0/2")
     build.loss(3.0, "karen-bench/0/1")
     build.loss(9.0, "westlands-clinic/0/4")
     build.incident(6.0, "zone_out", "ngong-store")
