--- a/test/state/life_cycle.py
+++ b/test/state/life_cycle.py
@@ -109,12 +109,12 @@
         self.now = 100.0
         self.machine = StateMachine()
         self.messages = []
+        self.payload_by_id = {}
         self.delayed = []
         self.expires_at = {}
         self.entry_by_name = {}
         self.entry_count = 0
         self.sent = {}
-        self.tables = []
         self.starts = []
         self.upstreams = [Upstream(number) for number in range(len(ZONES))]
         account = ClientAccountSpec("clinic")
@@ -186,6 +186,7 @@
     def submit(self, gang, idempotent, checkpointable, run_s):
         request_id = f"r{len(self.machine.request_by_id)}"
         payload = json.dumps({"run_s": run_s, "request": request_id}).encode()
+        self.payload_by_id[request_id] = payload
         self.commit(
             SubmitRequest(
                 request_id, "clinic", "fit", request_id, "d", Shape(gang), 1.0,
@@ -207,7 +208,6 @@
         upstream.table = TaskTable(
             spec.incarnation, 8, upstream.behaviour, lambda: self.now, honoured
         )
-        self.tables.append((upstream.name, spec.incarnation, upstream.table))
         self.commit(RegisterUpstream(spec))
 
     def set_status(self, upstream, status):
--- a/test/state/test_attempt_commands.py
+++ b/test/state/test_attempt_commands.py
@@ -5,9 +5,11 @@
 from persimmonyard.model import ResultCode
 from persimmonyard.state.commands import (
     AssignDispatch,
+    CancelRequest,
     EndAttempt,
     PlaceAttempt,
     RefuseRequest,
+    StartAttempt,
     StopAttempt,
 )
 from persimmonyard.state.records import (
@@ -66,6 +68,23 @@
         self.assertEqual(result.code, ResultCode.STALE_FENCE)
         self.assertEqual(attempt.state, AttemptState.STARTED)
 
+    def test_start_under_an_older_fence_is_refused(self):
+        """An entry that was replaced before the start sends none."""
+        record = self.fixture.submit()
+        old = self.fixture.place(record).fence
+        self.fixture.run(AssignDispatch("r", 1, "e2"))
+        result = self.fixture.run(StartAttempt("r", 1, old))
+        self.assertEqual(result.code, ResultCode.STALE_FENCE)
+
+    def test_start_of_a_stopping_attempt_is_refused(self):
+        """A repeated start after a cancellation does not revive the work."""
+        record = self.fixture.submit()
+        attempt = self.fixture.start(record)
+        self.fixture.run(CancelRequest("r", "clinic"))
+        result = self.fixture.run(StartAttempt("r", 1, attempt.fence))
+        self.assertEqual(result.code, ResultCode.ALREADY_ENDED)
+        self.assertEqual(attempt.state, AttemptState.STOPPING)
+
     def test_incomplete_answers_are_refused(self):
         """A gang does not finish with the answers of some members."""
         record = self.fixture.submit(gang=2)
--- a/test/state/test_life_cycle.py
+++ b/test/state/test_life_cycle.py
@@ -82,8 +82,9 @@
 
     def check_answers(self, request_id, outcome):
         for member, answer in enumerate(outcome.answers):
-            assert answer.body.startswith(b"answer:%d:" % member), "another member's"
-            assert f'"{request_id}"'.encode() in answer.body, "another request's"
+            payload = self.world.payload_by_id[request_id]
+            whole = b"answer:%d:" % member + payload
+            assert answer.body == whole, "not the whole answer of this member"
             assert answer.digest == hashlib.sha256(answer.body).hexdigest()
 
     def check_gangs(self):
@@ -111,15 +112,11 @@
         dead = []
         for index, member in enumerate(attempt.members):
             state = "dead"
-            for upstream_id, incarnation, table in self.world.tables:
-                if (upstream_id, incarnation) != (
-                    member.upstream_id,
-                    member.incarnation,
-                ):
-                    continue
-                live = self.world.upstreams[int(upstream_id[3:])].table is table
-                body = {"attempt": name, "member": index, "fence": 10**9}
-                state = table._report(body)["state"] if live else "dead"
+            upstream = self.world.upstreams[int(member.upstream_id[3:])]
+            if upstream.table.incarnation == member.incarnation:
+                upstream.table.busy()
+                task = upstream.table._task_by_key.get((name, index))
+                state = task.state if task is not None else "dead"
             if state == "running":
                 running.append(index)
             elif state != "finished":
