--- a/packages/daemon/src/persimmonyard/daemon/entry/attempt_events.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/attempt_events.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from persimmonyard.model import ResultCode
 from persimmonyard.state.commands import CommandResult
 from persimmonyard.wire import DispatchOrder
 
@@ -25,6 +26,8 @@
     "TaskAnswer",
     "TaskStatus",
     "Woken",
+    "is_stale",
+    "lost_members",
 ]
 
 
@@ -171,3 +174,25 @@
 
 
 Action = CallUpstream | AskLeader | Drop
+
+
+def is_stale(event: Event) -> bool:
+    """Return whether the event shows that another entry has a newer fence."""
+    stale = ResultCode.STALE_FENCE
+    match event:
+        case CallFailed(code=code):
+            return code == stale
+        case MembersRenewed(statuses=statuses):
+            return any(status.code == stale for status in statuses)
+        case LeaderAnswered(result=result):
+            return result is not None and result.code == stale
+    return False
+
+
+def lost_members(order: DispatchOrder) -> set[int]:
+    """Return the members whose upstream the leader knows to be lost."""
+    lost = set()
+    for index, member in enumerate(order.members):
+        if member.lost:
+            lost.add(index)
+    return lost
--- a/packages/state/src/persimmonyard/state/attempt_commands.py
+++ b/packages/state/src/persimmonyard/state/attempt_commands.py
@@ -134,6 +134,10 @@
         return CommandResult.failed(
             ResultCode.BAD_FIELD, f"{len(attempt.members)} answers are needed"
         )
+    checkpointed = command.outcome == AttemptOutcome.CHECKPOINTED
+    if checkpointed and not command.checkpoint:
+        # Work without a checkpoint would begin from nothing again.
+        command = dataclasses.replace(command, outcome=AttemptOutcome.STOPPED)
     if attempt.started_at is None:
         # Without a committed start no task began, whatever was reported.
         command = dataclasses.replace(
--- a/test/state/test_attempt_commands.py
+++ b/test/state/test_attempt_commands.py
@@ -151,6 +151,13 @@
         self.fixture.end(record, attempt, AttemptOutcome.LOST)
         self.assertEqual(record.code, ResultCode.OUTCOME_UNKNOWN)
 
+    def test_empty_checkpoint_does_not_allow_another_run(self):
+        """A run from nothing would be the second one."""
+        record = self.fixture.submit(checkpointable=True)
+        attempt = self.fixture.start(record)
+        self.fixture.end(record, attempt, AttemptOutcome.CHECKPOINTED)
+        self.assertEqual(record.code, ResultCode.OUTCOME_UNKNOWN)
+
     def test_refusal_after_a_run_does_not_say_not_run(self):
         """A request that ran once is not refused with a not-run code."""
         record = self.fixture.submit(idempotent=True)
