--- a/packages/daemon/src/persimmonyard/daemon/entry/attempt_events.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/attempt_events.py
@@ -1,6 +1,8 @@
 """What the core of an attempt is told, and what it asks its host to do."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any, NamedTuple
 
 import msgspec
@@ -21,16 +23,42 @@
     "Event",
     "LeaderAnswered",
     "MembersRenewed",
+    "Phase",
     "Renewal",
     "StopOrdered",
     "TaskAnswer",
     "TaskStatus",
     "Woken",
+    "call_all",
     "is_stale",
+    "is_unknown",
     "lost_members",
 ]
 
 
+_UNKNOWN_OUTCOMES = (
+    ResultCode.NO_LEADER,
+    ResultCode.NOT_LEADER,
+    ResultCode.TIMEOUT,
+    ResultCode.STOPPING,
+    ResultCode.OVERLOADED,
+)
+
+
+class Phase(Enum):
+    """What the attempt waits for."""
+
+    PREPARING = "preparing"
+    ASKING = "asking"
+    SENDING = "sending"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    FETCHING = "fetching"
+    REPORTING = "reporting"
+    RELEASING = "releasing"
+    DROPPED = "dropped"
+
+
 class TaskStatus(msgspec.Struct):
     """State of one task as its upstream reports it.
 
@@ -196,3 +224,15 @@
         if member.lost:
             lost.add(index)
     return lost
+
+
+def is_unknown(result: CommandResult | None) -> bool:
+    """Return whether a command may or may not have been applied."""
+    return result is None or result.code in _UNKNOWN_OUTCOMES
+
+
+def call_all(
+    members: Iterable[int], call: str, not_after: float | None = None
+) -> list[Action]:
+    """Return one call for each member."""
+    return [CallUpstream(call, member, not_after=not_after) for member in members]
--- a/packages/daemon/src/persimmonyard/daemon/entry/attempt_run.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/attempt_run.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
-from persimmonyard.daemon.entry.attempt_core import AttemptCore, Phase
+from persimmonyard.daemon.entry.attempt_core import AttemptCore
 from persimmonyard.daemon.entry.attempt_events import (
     Action,
     AnswerFetched,
@@ -17,6 +17,7 @@
     Drop,
     Event,
     LeaderAnswered,
+    Phase,
     Woken,
 )
 from persimmonyard.daemon.entry.leader import LeaderClient
@@ -26,8 +27,9 @@
     UpstreamUnreachableError,
 )
 from persimmonyard.daemon.logs import get_logger
+from persimmonyard.daemon.timing import START_PERMIT_S
 from persimmonyard.model import PersimmonyardError
-from persimmonyard.state.commands import EndAttempt
+from persimmonyard.state.commands import EndAttempt, StartAttempt
 from persimmonyard.wire import DispatchOrder
 
 __all__ = ["AttemptRun", "RunOwner"]
@@ -178,8 +180,12 @@
         if action.delay_s:
             await asyncio.sleep(action.delay_s)
         result = None
+        wait_s = LEADER_WAIT_S
+        if isinstance(action.command, StartAttempt):
+            # A later permission is of no use: the permit has ended.
+            wait_s = START_PERMIT_S
         try:
-            result = await self._leader.execute(action.command, wait_s=LEADER_WAIT_S)
+            result = await self._leader.execute(action.command, wait_s=wait_s)
         except PersimmonyardError as error:
             self._logger.info("leader did not answer", code=int(error.code))
         if isinstance(action.command, EndAttempt) and result is not None:
--- a/packages/daemon/src/persimmonyard/daemon/entry/dispatch.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/dispatch.py
@@ -5,9 +5,9 @@
 import dataclasses
 import time
 
-from persimmonyard.daemon.entry.attempt_core import Phase
 from persimmonyard.daemon.entry.attempt_events import (
     MembersRenewed,
+    Phase,
     StopOrdered,
     TaskStatus,
 )
--- a/test/daemon/test_dispatch.py
+++ b/test/daemon/test_dispatch.py
@@ -4,7 +4,7 @@
 import unittest
 from types import SimpleNamespace
 
-from persimmonyard.daemon.entry.attempt_core import AttemptCore, Phase
+from persimmonyard.daemon.entry.attempt_core import AttemptCore
 from persimmonyard.daemon.entry.attempt_events import (
     AnswerFetched,
     AskLeader,
@@ -15,6 +15,7 @@
     Drop,
     LeaderAnswered,
     MembersRenewed,
+    Phase,
     StopOrdered,
     TaskAnswer,
     TaskStatus,
