--- a/packages/daemon/src/persimmonyard/daemon/entry/dispatch.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/dispatch.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from persimmonyard.daemon.entry.attempt_core import Phase
 from persimmonyard.daemon.entry.attempt_events import (
     MembersRenewed,
+    Phase,
     StopOrdered,
     TaskStatus,
 )
--- a/test/state/test_life_cycle.py
+++ b/test/state/test_life_cycle.py
@@ -54,9 +54,12 @@
                 assert start.at <= limit, f"start on {item} long after it was closed"
         self.seen_starts = len(world.starts)
         counts = Counter()
+        from_nothing = Counter()
         for _, start in world.starts:
-            counts[(start.attempt.partition(".")[0], start.member)] += 1
-        for (request_id, _), count in counts.items():
+            key = (start.attempt.partition(".")[0], start.member)
+            counts[key] += 1
+            from_nothing[key] += not start.resumed
+        for (request_id, member), count in counts.items():
             record = world.machine.request_by_id[request_id]
             if record.idempotent:
                 continue
@@ -65,6 +68,8 @@
                 if attempt.outcome == AttemptOutcome.CHECKPOINTED:
                     allowed += 1
             assert count <= allowed, f"{request_id} ran {count} times"
+            repeated = from_nothing[(request_id, member)] > 1
+            assert not repeated, f"{request_id} began from nothing again"
 
     def check_outcomes(self):
         """Check that outcomes are true, whole and final."""
@@ -82,8 +87,9 @@
 
     def check_answers(self, request_id, outcome):
         for member, answer in enumerate(outcome.answers):
-            assert answer.body.startswith(b"answer:%d:" % member), "another member's"
-            assert f'"{request_id}"'.encode() in answer.body, "another request's"
+            payload = self.world.payload_by_id[request_id]
+            whole = b"answer:%d:" % member + payload
+            assert answer.body == whole, "not the whole answer of this member"
             assert answer.digest == hashlib.sha256(answer.body).hexdigest()
 
     def check_gangs(self):
@@ -111,15 +117,11 @@
         dead = []
         for index, member in enumerate(attempt.members):
             state = "dead"
-            for upstream_id, incarnation, table in self.world.tables:
-                if (upstream_id, incarnation) != (
-                    member.upstream_id,
-                    member.incarnation,
-                ):
-                    continue
-                live = self.world.upstreams[int(upstream_id[3:])].table is table
-                body = {"attempt": name, "member": index, "fence": 10**9}
-                state = table._report(body)["state"] if live else "dead"
+            upstream = self.world.upstreams[int(member.upstream_id[3:])]
+            if upstream.table.incarnation == member.incarnation:
+                upstream.table.busy()
+                task = upstream.table._task_by_key.get((name, index))
+                state = task.state if task is not None else "dead"
             if state == "running":
                 running.append(index)
             elif state != "finished":
