--- a/packages/standin/src/persimmonyard/standin/demo.py
+++ b/packages/standin/src/persimmonyard/standin/demo.py
@@ -3,9 +3,11 @@
 import base64
 import hashlib
 import json
+import os
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Any
 
@@ -13,8 +15,37 @@
 
 __all__ = ["main"]
 
+# Several control processes keep separate logs as long as the replicated log
+# is not part of the daemon.
+CONTROLS = 1
+ENTRIES = 2
 CLIENT_TOKEN = "clinic-token-for-loopback"
 ZONES = ("karen-bench", "ngong-store", "thika-annex", "westlands-clinic")
+UPSTREAMS_IN_ZONE = 2
+START_DEADLINE_S = 60.0
+POLL_S = 0.5
+
+FLEET = """
+[zones.karen-bench]
+[zones.ngong-store]
+[zones.thika-annex]
+[zones.westlands-clinic]
+
+[classes.fit-check]
+within_s = 900.0
+start_within_s = 7.3
+
+[classes.sculpt]
+done_by = "06:00"
+
+[accounts.clinic]
+token_hashes = ["{digest}"]
+max_waiting = 100
+guarantee = [{{gang = 4, accelerators = 2, cores = 8, memory_mb = 16384}}]
+
+[accounts.bench-carvers]
+guarantee = [{{gang = 1, accelerators = 4, cores = 8, memory_mb = 16384}}]
+"""
 
 
 class DemoFailedError(Exception):
@@ -26,36 +57,55 @@
 
     def __init__(self, folder: Path):
         self._folder = folder
-        self._deployment = Deployment(folder, controls=1, entries=2)
+        self._deployment = Deployment(folder, controls=CONTROLS, entries=ENTRIES)
 
     def run(self) -> None:
         """Run all steps and stop the deployment."""
         try:
             self._deployment.start()
             self._start_upstreams()
+            self._write_cli_settings()
+            self._await_upstreams()
             self._apply_fleet()
             self._fit_check()
             self._gang()
             self._zone_out_and_back()
             self._cli("status")
+            self._stop()
         finally:
             self._deployment.stop()
 
     def _start_upstreams(self) -> None:
-        for number, zone in enumerate(ZONES):
-            self._deployment.start_upstream(f"up-{number + 1}", zone, "rack-1")
+        for zone in ZONES:
+            for number in range(UPSTREAMS_IN_ZONE):
+                name = f"up-{zone}-{number + 1}"
+                self._deployment.start_upstream(name, zone, "rack-1")
+
+    def _write_cli_settings(self) -> None:
+        urls = json.dumps(self._deployment.entry_urls())
+        lines = [
+            f"urls = {urls}",
+            f'token = "{CLIENT_TOKEN}"',
+            f'operator_token = "{self._deployment.operator_token}"',
+        ]
+        (self._folder / "cli.toml").write_text("\n".join(lines) + "\n")
+
+    def _await_upstreams(self) -> None:
+        """Wait until all upstreams are known: guarantees need capacity."""
+        deadline = time.monotonic() + START_DEADLINE_S
+        while time.monotonic() < deadline:
+            status = json.loads(self._run("--json", "status"))
+            if len(status["upstreams"]) == len(ZONES) * UPSTREAMS_IN_ZONE:
+                return
+            time.sleep(POLL_S)
+        raise DemoFailedError("not all upstreams announced themselves in time")
 
     def _apply_fleet(self) -> None:
         digest = hashlib.sha256(CLIENT_TOKEN.encode()).hexdigest()
-        changes: list[dict[str, Any]] = []
-        for zone in ZONES:
-            changes.append({"zone": {"name": zone}})
-        changes.append({"work_class": {"name": "fit-check", "within_s": 900.0}})
-        account = {"name": "clinic", "token_hashes": [digest]}
-        changes.append({"client_account": account})
-        path = self._folder / "fleet.json"
-        path.write_text(json.dumps({"changes": changes}))
+        path = self._folder / "fleet.toml"
+        path.write_text(FLEET.format(digest=digest))
         self._cli("apply", str(path), "--wait")
+        self._cli("account", "list")
 
     def _fit_check(self) -> None:
         payload = json.dumps({"run_s": 0.1, "foot": "left"})
@@ -73,12 +123,14 @@
         payload = json.dumps({"run_s": 0.1, "foot": "right"})
         request = self._submit("fit-check-2", payload, "--accelerators", "1")
         self._check_answers(request, payload, 1)
+        self._check_outside(request["request"], ZONES[0])
         self._cli("zone", "in", ZONES[0], "--wait")
 
     def _submit(self, key: str, payload: str, *options: str) -> dict[str, Any]:
         output = self._cli(
-            "submit", "--class", "fit-check", "--key", key, "--payload", payload,
-            "--run-s", "1", "--idempotent", "--wait-s", "60", *options,
+            "--json", "submit", "--class", "fit-check", "--key", key,
+            "--payload", payload, "--run-s", "1", "--idempotent",
+            "--wait-s", "60", *options,
         )  # fmt: skip
         result: dict[str, Any] = json.loads(output)
         return result
@@ -95,14 +147,37 @@
         if found != expected:
             raise DemoFailedError(f"expected {expected}, got {request}")
 
+    def _check_outside(self, request_id: str, zone: str) -> None:
+        explanation = json.loads(self._cli("--json", "explain", request_id))
+        for attempt in explanation["attempts"]:
+            for upstream in attempt["upstreams"]:
+                if upstream.startswith(f"up-{zone}-"):
+                    raise DemoFailedError(f"{request_id} ran in {zone}")
+
+    def _stop(self) -> None:
+        """Stop the system's processes and check that each stops cleanly."""
+        names = [f"entry-{n + 1}" for n in range(ENTRIES)]
+        names += [f"control-{n + 1}" for n in range(CONTROLS)]
+        for name in names:
+            status = self._deployment.stop_process(name)
+            print(f"{name} stopped with status {status}")
+            if status != 0:
+                raise DemoFailedError(f"{name} ended with status {status}")
+
     def _cli(self, *arguments: str) -> str:
-        url = self._deployment.entry_url(1)
-        command = [sys.executable, "-m", "persimmonyard.cli.main", "--json"]
-        command += ["--url", url, "--token", CLIENT_TOKEN]
-        command += ["--operator-token", self._deployment.operator_token, *arguments]
-        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        """Run the command line, and show the command and its output."""
+        output = self._run(*arguments)
         print(f"$ persimmonyard {' '.join(arguments)}")
-        print(done.stdout, end="")
+        print(output, flush=True)
+        return output
+
+    def _run(self, *arguments: str) -> str:
+        command = [sys.executable, "-m", "persimmonyard.cli.main", *arguments]
+        settings = str(self._folder / "cli.toml")
+        environment = os.environ | {"PERSIMMONYARD_CONFIG": settings}
+        done = subprocess.run(
+            command, capture_output=True, text=True, check=False, env=environment
+        )
         if done.returncode != 0:
             raise DemoFailedError(done.stderr)
         return done.stdout
--- a/test/daemon/test_shutdown.py
+++ b/test/daemon/test_shutdown.py
@@ -120,8 +120,16 @@
         self.assertGreater(len(load.unended), 0)
         self.assertEqual(load.cut, [])
         self.assertGreater(len(load.ended), CALLERS)
+        self.assertEqual(self.attempts_left(deployment), 0)
         await self.check_all_ran_once(deployment, load)
 
+    def attempts_left(self, deployment):
+        """Return how many attempts the entry held when it stopped."""
+        for line in (deployment.folder / "entry-1.log").read_text().splitlines():
+            if "attempts handed over" in line:
+                return json.loads(line)["left"]
+        return None
+
     async def check_all_ran_once(self, deployment, load):
         """Every request ended well in its one attempt."""
         url = deployment.entry_url(2)
