--- a/test/daemon/test_api.py
+++ b/test/daemon/test_api.py
@@ -4,9 +4,11 @@
 import base64
 import json
 import unittest
+from pathlib import Path
 
 import httpx
 
+from persimmonyard.daemon.errors import error_body, http_status
 from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.state.commands import CancelRequest
 from test.daemon.fakes import CLINIC, OPERATOR, OTHER, UPSTREAM, FakeEntry
@@ -491,3 +493,21 @@
         self.entry.leader.error = None
         await self.announce()
         self.assertEqual(self.names(), ["RegisterUpstream"])
+
+
+class DocumentationTests(unittest.TestCase):
+    def test_table_of_codes_matches_what_is_sent(self):
+        """The table has the HTTP status and the not_run of each code."""
+        path = Path(__file__).resolve().parents[2] / "docs" / "result-codes.md"
+        rows = {}
+        for line in path.read_text().splitlines():
+            cells = [cell.strip() for cell in line.split("|")]
+            if len(cells) > 4 and cells[1].isdigit():
+                rows.setdefault(cells[2], cells)
+        for code in ResultCode:
+            if code == ResultCode.OK:
+                continue
+            cells = rows[code.name]
+            not_run = {"yes": True, "no": False}[cells[4]]
+            self.assertEqual(cells[3], str(http_status(code)), code)
+            self.assertEqual(not_run, error_body(code, "")["not_run"], code)
