Log lines of libraries as JSON too

Cause: errors that uvicorn or asyncio log were plain text between JSON lines.

Change: the root logger formats them with the same processors; calls are logged at the level debug with operation, request and code.

Result: test_metrics checks that every line is one JSON object.

--- a/packages/daemon/src/persimmonyard/daemon/entry/app.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/app.py
@@ -13,6 +13,7 @@
 from persimmonyard.daemon.entry.operator_api import OperatorApi
 from persimmonyard.daemon.entry.requests_api import RequestApi
 from persimmonyard.daemon.errors import exception_handlers
+from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.metrics import EntryMetrics
 from persimmonyard.model import PersimmonyardError, ResultCode
 
@@ -34,6 +35,7 @@
         announcements: Announcements,
     ):
         self.stopping = False
+        self._logger = get_logger("http")
         self._state = state
         self._chain = chain
         self._metrics = metrics
@@ -121,5 +123,12 @@
             work_class = getattr(request.state, "work_class", "")
             seconds = time.monotonic() - began
             self._metrics.count_call(operation, work_class, code, seconds)
+            self._logger.debug(
+                "call answered",
+                operation=operation,
+                request=request.path_params.get("request_id"),
+                code=code,
+                seconds=round(seconds, 4),
+            )
         headers = {"Connection": "close"} if self.stopping else {}
         return Response(body, headers=headers)
--- a/packages/daemon/src/persimmonyard/daemon/logs.py
+++ b/packages/daemon/src/persimmonyard/daemon/logs.py
@@ -7,23 +7,44 @@
 
 __all__ = ["get_logger", "set_up_logs"]
 
+_SHARED: list = [
+    structlog.contextvars.merge_contextvars,
+    structlog.processors.add_log_level,
+    structlog.processors.TimeStamper(fmt="iso"),
+    structlog.processors.format_exc_info,
+]
+
 
 def set_up_logs(level: str, process: str, zone: str) -> None:
-    """Send every log line as JSON to standard error."""
+    """Send every log line as JSON to standard error.
+
+    Lines of libraries are included from the level warning on, so that no
+    line breaks the format.
+    """
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
+        processors=[*_SHARED, structlog.processors.JSONRenderer()],
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
     structlog.contextvars.bind_contextvars(process=process, zone=zone)
+    _set_up_library_logs()
+
+
+def _set_up_library_logs() -> None:
+    formatter = structlog.stdlib.ProcessorFormatter(
+        processors=[
+            structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+            structlog.processors.JSONRenderer(),
+        ],
+        foreign_pre_chain=_SHARED,
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
 
 
 def get_logger(name: str) -> structlog.stdlib.BoundLogger:
--- /dev/null
+++ b/test/daemon/test_metrics.py
@@ -0,0 +1,59 @@
+"""Tests of persimmonyard.daemon.metrics and persimmonyard.daemon.logs."""
+
+import json
+import subprocess
+import sys
+import unittest
+
+from persimmonyard.daemon.metrics import EntryMetrics
+
+# A process of its own, because set_up_logs changes the whole process.
+LOGGING = """
+import logging
+from persimmonyard.daemon.logs import get_logger, set_up_logs
+set_up_logs("info", "entry-1", "karen-bench")
+logger = get_logger("dispatch").bind(request="r-1", attempt=2)
+logger.info("member not ready", upstream="up-1")
+logger.debug("hidden")
+logging.getLogger("uvicorn.error").error("from a %s", "library")
+try:
+    1 / 0
+except ZeroDivisionError:
+    logger.exception("failed")
+"""
+
+
+class MetricsTests(unittest.TestCase):
+    def test_calls_and_gauges_are_shown(self):
+        """Counts are by operation, class and code; gauges are read late."""
+        metrics = EntryMetrics()
+        value = [1.0]
+        metrics.add_gauge("attempts", "Attempts in hand.", lambda: value[0])
+        metrics.count_call("submit", "fit", 0, 0.01)
+        metrics.count_call("submit", "fit", 0, 9.0)
+        metrics.count_call("submit", "", 302, 0.01)
+        value[0] = 7.0
+        text = metrics.text()[0].decode()
+        self.assertIn('class="fit",code="0",operation="submit"} 2', text)
+        self.assertIn('class="",code="302",operation="submit"} 1', text)
+        self.assertIn('le="30.0",operation="submit"} 3.0', text)
+        self.assertIn("persimmonyard_attempts 7.0", text)
+
+
+class LogTests(unittest.TestCase):
+    def test_every_line_is_json_with_identifiers(self):
+        """Lines of libraries and tracebacks keep to one JSON object."""
+        done = subprocess.run(
+            [sys.executable, "-c", LOGGING], capture_output=True, text=True, check=True
+        )
+        lines = [json.loads(line) for line in done.stderr.splitlines()]
+        events = [line["event"] for line in lines]
+        self.assertEqual(events, ["member not ready", "from a library", "failed"])
+        for line in lines:
+            self.assertEqual(
+                (line["process"], line["zone"]), ("entry-1", "karen-bench")
+            )
+        first = lines[0]
+        identifiers = (first["request"], first["attempt"], first["upstream"])
+        self.assertEqual(identifiers, ("r-1", 2, "up-1"))
+        self.assertIn("ZeroDivisionError", lines[2]["exception"])
