Give a resend without a wait the state of the request it joins

Cause: a resend with wait_s 0 of a request that had ended was answered as accepted.

Change: a joined request is looked up before the answer. The shutdown test checks that a long task goes on when its entry has left.

--- a/packages/daemon/src/persimmonyard/daemon/entry/requests_api.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/requests_api.py
@@ -76,7 +76,9 @@
         outcome = await self._wait(result.request_id, wait_s)
         if outcome is not None:
             return _view(outcome)
-        if wait_s == 0 or self._state.waiters.stopping:
+        # A new request cannot have ended yet; one that was joined can.
+        joined = result.request_id != command.request_id
+        if not joined and (wait_s == 0 or self._state.waiters.stopping):
             return _accepted(result.request_id)
         try:
             return _view(await self._owned_outcome(account, result.request_id))
--- a/test/daemon/test_api.py
+++ b/test/daemon/test_api.py
@@ -342,6 +342,16 @@
         self.assertEqual((body["ended"], body["state"]), (False, "accepted"))
         self.assertIn(body["request"], self.entry.leader.machine.request_by_id)
 
+    async def test_resend_without_wait_gets_the_state_of_the_first(self):
+        """A resend joins a request that has ended, and sees its outcome."""
+        request_id = (await self.submit()).json()["request"]
+        path = f"/v1/requests/{request_id}/cancel"
+        await self.client.post(path, headers=CLINIC)
+        body = (await self.submit()).json()
+        self.assertEqual(
+            (body["request"], body["ended"], body["code"]), (request_id, True, 500)
+        )
+
     async def test_cancel_returns_the_one_outcome(self):
         """Cancelling a waiting request gives 500, and again 500."""
         request_id = (await self.submit()).json()["request"]
--- a/test/daemon/test_shutdown.py
+++ b/test/daemon/test_shutdown.py
@@ -43,10 +43,10 @@
     async def long_poll(self):
         """Wait for a task that outlasts the shutdown; return the time."""
         began = time.monotonic()
-        await self._one("long", 12.0)
+        await self._one("long", 20.0)
         return time.monotonic() - began
 
-    async def _one(self, key, run_s=0.3):
+    async def _one(self, key, run_s=0.3, wait_s=30.0):
         payload = base64.b64encode(json.dumps({"run_s": run_s}).encode()).decode()
         body = {
             "class": "fit",
@@ -54,7 +54,7 @@
             "declared_run_s": 1.0,
             "idempotent": False,
             "payload": payload,
-            "wait_s": 30.0,
+            "wait_s": wait_s,
         }
         for url in self.urls:
             try:
@@ -111,6 +111,8 @@
         began = time.monotonic()
         status = await asyncio.to_thread(process.wait, DEADLINE_S)
         took = time.monotonic() - began
+        # The entry left while the task went on, in the hands of the other.
+        self.assertEqual(await self.state_of_long(deployment), "started")
         await asyncio.sleep(1.0)
         load.stopping = True
         await asyncio.wait_for(callers, DEADLINE_S)
@@ -123,6 +125,12 @@
         self.assertEqual(self.attempts_left(deployment), 0)
         await self.check_all_ran_once(deployment, load)
 
+    async def state_of_long(self, deployment):
+        """Return the state of the long request; its key joins it."""
+        load = Load([deployment.entry_url(2)])
+        await load._one("long", 20.0, wait_s=0.0)
+        return (load.ended + load.unended)[0]["state"]
+
     def attempts_left(self, deployment):
         """Return how many attempts the entry held when it stopped."""
         for line in (deployment.folder / "entry-1.log").read_text().splitlines():
