--- a/test/daemon/test_api.py
+++ b/test/daemon/test_api.py
@@ -4,11 +4,13 @@
 import base64
 import json
 import unittest
+from pathlib import Path
 
 import httpx
 
+from persimmonyard.daemon.errors import error_body, http_status
 from persimmonyard.model import PersimmonyardError, ResultCode
-from persimmonyard.state.commands import CancelRequest
+from persimmonyard.state.commands import CancelRequest, LogRecord
 from test.daemon.fakes import CLINIC, OPERATOR, OTHER, UPSTREAM, FakeEntry
 
 GOOD = {
@@ -327,7 +329,8 @@
         poll = asyncio.create_task(self.client.get(path, headers=CLINIC))
         while self.entry.state.waiters.count() == 0:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
-        self.entry.leader.machine._cancel(CancelRequest(request_id, "clinic"))
+        cancel = CancelRequest(request_id, "clinic")
+        self.entry.leader.machine.apply_record(LogRecord("", 2.0, cancel))
         self.entry.end(request_id)
         body = (await poll).json()
         self.assertEqual(
@@ -340,6 +343,16 @@
         self.assertEqual((body["ended"], body["state"]), (False, "accepted"))
         self.assertIn(body["request"], self.entry.leader.machine.request_by_id)
 
+    async def test_resend_without_wait_gets_the_state_of_the_first(self):
+        """A resend joins a request that has ended, and sees its outcome."""
+        request_id = (await self.submit()).json()["request"]
+        path = f"/v1/requests/{request_id}/cancel"
+        await self.client.post(path, headers=CLINIC)
+        body = (await self.submit()).json()
+        self.assertEqual(
+            (body["request"], body["ended"], body["code"]), (request_id, True, 500)
+        )
+
     async def test_cancel_returns_the_one_outcome(self):
         """Cancelling a waiting request gives 500, and again 500."""
         request_id = (await self.submit()).json()["request"]
@@ -491,3 +504,21 @@
         self.entry.leader.error = None
         await self.announce()
         self.assertEqual(self.names(), ["RegisterUpstream"])
+
+
+class DocumentationTests(unittest.TestCase):
+    def test_table_of_codes_matches_what_is_sent(self):
+        """The table has the HTTP status and the not_run of each code."""
+        path = Path(__file__).resolve().parents[2] / "docs" / "result-codes.md"
+        rows = {}
+        for line in path.read_text().splitlines():
+            cells = [cell.strip() for cell in line.split("|")]
+            if len(cells) > 4 and cells[1].isdigit():
+                rows.setdefault(cells[2], cells)
+        for code in ResultCode:
+            if code == ResultCode.OK:
+                continue
+            cells = rows[code.name]
+            not_run = {"yes": True, "no": False}[cells[4]]
+            self.assertEqual(cells[3], str(http_status(code)), code)
+            self.assertEqual(not_run, error_body(code, "")["not_run"], code)
--- a/test/replication/test_core.py
+++ b/test/replication/test_core.py
@@ -217,11 +217,15 @@
 
     MEMBERS = Members({"a": "0", "b": "0", "c": "0"})
 
+    CONFIG = CoreConfig(
+        "a", "0", heartbeat_s=0.15, election_min_s=0.6, election_max_s=1.2, lease_s=0.5
+    )
+
     def elected(self, entries):
         """Return a core that was just elected in term 3, and its clock."""
         durable = DurableState(term=2, entries=entries)
         durable.snapshot = SnapshotMeta(0, 0, self.MEMBERS)
-        core = ReplicaCore(CoreConfig("a", "0"), durable, 0.0)
+        core = ReplicaCore(self.CONFIG, durable, 0.0)
         for event in (
             events.Tick(),
             events.Received("b", PreVoteReply(3, True, "0", 2)),
@@ -271,7 +275,7 @@
     def test_replica_that_just_started_refuses_its_vote(self):
         """It may have confirmed a lease right before it restarted."""
         durable = DurableState(snapshot=SnapshotMeta(0, 0, self.MEMBERS))
-        core = ReplicaCore(CoreConfig("a", "0"), durable, 5.0)
+        core = ReplicaCore(self.CONFIG, durable, 5.0)
         early = core.step(events.Received("b", PreVote(1, 0, 0)), 5.5)
         late = core.step(events.Received("b", PreVote(1, 0, 0)), 5.61)
         granted = [actions[0].message.granted for actions in (early, late)]
