--- a/packages/scheduler/src/persimmonyard/scheduler/fleet.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/fleet.py
@@ -41,6 +41,7 @@
         "calm_borrowed",
         "capacity",
         "cells_by_account",
+        "ending",
         "free",
         "home_by_account",
         "incarnation",
@@ -70,6 +71,8 @@
         self.home_by_account: dict[str, Vector] = {}
         self.borrowed = ZERO
         self.calm_borrowed = ZERO
+        # What borrowers use that have been preempted and have not ended.
+        self.ending = ZERO
         self.task_ids: dict[str, int] = {}
         self.leaving = False
         self.lost = False
@@ -80,6 +83,10 @@
         """Return the capacity that no guarantee and no pinned work needs."""
         return subtract(self.capacity, self.need)
 
+    def reclaimable(self, borrowed: Vector) -> Vector:
+        """Return what is free once ``borrowed`` and all preempted work end."""
+        return add(add(self.free, self.ending), borrowed)
+
     def share(self, account: str) -> Vector:
         """Return what is needed on behalf of one client account."""
         return highest(
@@ -119,6 +126,8 @@
         self.closed_zones: set[str] = set()
         self.cell_ids_by_account: dict[str, set[str]] = {}
         self.pinned_ids_by_account: dict[str, set[str]] = {}
+        # Members of an account's borrowers by upstream.
+        self.borrowing_by_account: dict[str, dict[str, int]] = {}
         self.ids_by_zone: dict[str, set[str]] = {}
         self._index_by_zone: dict[str, list[FitIndex]] = {}
         # Called with a node after its available capacity may have grown.
@@ -165,7 +174,7 @@
         indexes[View.FREE].put(node_id, rack, node.free)
         indexes[View.SURPLUS].put(node_id, rack, lowest(node.free, unneeded))
         indexes[View.OPEN].put(node_id, rack, unneeded)
-        reclaimable = add(node.free, node.calm_borrowed)
+        reclaimable = node.reclaimable(node.calm_borrowed)
         indexes[View.RECLAIMABLE].put(node_id, rack, reclaimable)
 
     def refresh_zone(self, zone: str) -> None:
@@ -206,6 +215,15 @@
         _note(self.pinned_ids_by_account, account, node, pinned)
         node.need = add(subtract(node.need, before), node.share(account))
 
+    def count_borrowers(self, node: Node, account: str, count: int) -> None:
+        """Add to the members of an account's borrowers on a node."""
+        by_id = self.borrowing_by_account.setdefault(account, {})
+        by_id[node.node_id] = by_id.get(node.node_id, 0) + count
+        if by_id[node.node_id] == 0:
+            del by_id[node.node_id]
+        if not by_id:
+            del self.borrowing_by_account[account]
+
     def change_cells(self, node: Node, account: str, amount: Vector) -> None:
         """Add to the cells of an account (negative: take away)."""
         before = node.share(account)
--- a/packages/scheduler/src/persimmonyard/scheduler/planner.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/planner.py
@@ -166,7 +166,7 @@
             return None
 
         def available(node: Node) -> Vector:
-            reclaimable = add(node.free, node.borrowed)
+            reclaimable = node.reclaimable(node.borrowed)
             return lowest(self._home_by_id[node.node_id], reclaimable)
 
         plan = self._in_cells(available, RECLAIMED)
@@ -267,7 +267,7 @@
         """Take the place of borrowers that are not urgent."""
 
         def available(node: Node) -> Vector:
-            return self._within_needs(node, add(node.free, node.calm_borrowed))
+            return self._within_needs(node, node.reclaimable(node.calm_borrowed))
 
         members = self._indexed(View.RECLAIMABLE, available)
         if members is None:
--- a/packages/scheduler/src/persimmonyard/scheduler/work.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/work.py
@@ -194,7 +194,11 @@
             node = self.fleet.node_by_id[node_id]
             amount = _amount(task, sign * count)
             if task.kind == Kind.BORROWER:
-                if task.stopping or task.claimed:
+                if task.claimed:
+                    continue
+                self.fleet.count_borrowers(node, account, sign * count)
+                if task.stopping:
+                    node.ending = add(node.ending, amount)
                     continue
                 node.borrowed = add(node.borrowed, amount)
                 if not task.urgent:
