--- a/packages/scheduler/src/persimmonyard/scheduler/layout.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/layout.py
@@ -11,8 +11,18 @@
 
 from persimmonyard.model import Shape
 from persimmonyard.scheduler.fleet import Fleet, Node, View
-from persimmonyard.scheduler.layout_search import Budget, Demand, search_layout
-from persimmonyard.scheduler.placement import Members, search_index, search_nodes
+from persimmonyard.scheduler.layout_search import (
+    Budget,
+    Demand,
+    can_search,
+    search_layout,
+)
+from persimmonyard.scheduler.placement import (
+    Members,
+    Room,
+    search_index,
+    search_nodes,
+)
 from persimmonyard.scheduler.vector import (
     ZERO,
     Vector,
@@ -32,6 +42,12 @@
 STEPS_TO_SETTLE = 5_000
 STEPS_TO_CHECK = 20_000
 
+# Upstreams around an account's pinned work that a block is compared with.
+MAX_NEAR = 256
+
+# Upstreams with borrowers of an account that a new block is compared with.
+MAX_UNDER_WORK = 64
+
 # Blocks laid elsewhere to make room for one job.
 MAX_BLOCKS_MOVED = 8
 
@@ -120,8 +136,12 @@
 
     def _lay_with(self, block: Block, budget: Budget) -> bool:
         """Lay a block by moving the others; return whether all fit."""
-        blocks = [one for one in self.block_by_key.values() if one.members is not None]
-        return self._lay_anew([*blocks, block], budget)
+        if not can_search(self.fleet):
+            return False
+        return self._lay_anew([*self._laid(), block], budget)
+
+    def _laid(self) -> list[Block]:
+        return [one for one in self.block_by_key.values() if one.members is not None]
 
     def _order(self, key: BlockKey) -> tuple[int, int, BlockKey]:
         shape = self.block_by_key[key].shape
@@ -136,17 +156,11 @@
         return True
 
     def _find(self, account: str, shape: Shape) -> Members | None:
-        need = member_need(shape)
-
         def room(node: Node) -> int:
             return _room(node, account, shape)
 
         ids = self.fleet.pinned_ids_by_account.get(account, set())
-        uncovered = []
-        for node in self.fleet.nodes(sorted(ids)):
-            if self.fleet.sound(node) and times(need, _uncovered(node, account)):
-                uncovered.append(node)
-        members = search_nodes(uncovered, shape, room)
+        members = self._find_under_work(account, shape, room)
         if members is not None:
             return members
         members = search_index(self.fleet, View.OPEN, shape, room)
@@ -157,11 +171,29 @@
         near = set(ids)
         for zone, index in self.fleet.indexes(View.OPEN):
             for rack in sorted({self.fleet.node_by_id[one].rack for one in ids}):
-                if rack[0] == zone:
+                if rack[0] == zone and len(near) < MAX_NEAR:
                     near.update(index.ids_in_rack(rack))
         nodes = [one for one in self.fleet.nodes(sorted(near)) if self.fleet.sound(one)]
         return search_nodes(nodes, shape, room)
 
+    def _find_under_work(
+        self, account: str, shape: Shape, room: Room
+    ) -> Members | None:
+        """Look where the account's own work stands, pinned or borrowing."""
+        need = member_need(shape)
+        ids = set(self.fleet.pinned_ids_by_account.get(account, ()))
+        uncovered = []
+        for node in self.fleet.nodes(sorted(ids)):
+            if self.fleet.sound(node) and times(need, _uncovered(node, account)):
+                uncovered.append(node)
+        members = search_nodes(uncovered, shape, room)
+        if members is not None:
+            return members
+        borrowing = sorted(self.fleet.borrowing_by_account.get(account, ()))
+        ids.update(borrowing[:MAX_UNDER_WORK])
+        nodes = [one for one in self.fleet.nodes(sorted(ids)) if self.fleet.sound(one)]
+        return search_nodes(nodes, shape, room)
+
     def _put(self, block: Block, members: Members) -> None:
         block.members = members
         need = member_need(block.shape)
@@ -210,10 +242,9 @@
         nodes = self.fleet.nodes(members)
         for node in nodes:
             self.fleet.pin(node, account, scale(need, members[node.node_id]))
-        laid = [one for one in self.block_by_key.values() if one.members is not None]
         fits = self._lay_away(nodes)
-        if not fits:
-            fits = self._lay_anew(laid, Budget(STEPS_TO_MAKE_ROOM))
+        if not fits and can_search(self.fleet):
+            fits = self._lay_anew(self._laid(), Budget(STEPS_TO_MAKE_ROOM))
         for node in nodes:
             self.fleet.pin(node, account, scale(need, -members[node.node_id]))
             self.fleet.refresh(node)
@@ -331,6 +362,8 @@
         return lifted
 
     def _fits_anew(self, guarantee_by_account: dict[str, tuple[Shape, ...]]) -> bool:
+        if not can_search(self.fleet):
+            return False
         demands = []
         for account in sorted(guarantee_by_account):
             for number, shape in enumerate(guarantee_by_account[account]):
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -28,8 +28,9 @@
 # long; ``next_wakeup`` asks for the next call at once.
 MAX_DECISIONS = 64
 MAX_TRIES = 64
-MAX_FAILED_SEARCHES = 8
+MAX_FAILED_SEARCHES = 4
 MAX_BLOCKS_LAID = 16
+MAX_GROUPS_COMPARED = 128
 
 # Jobs of one account that are tried in a row before another account's turn.
 TRIES_IN_A_ROW = 4
@@ -87,7 +88,8 @@
         books = self._books
         if books.queue.any_ready() or books.layout.pending or books.ended:
             return self._decided_at
-        if books.freed.has_news() and len(books.queue):
+        news = books.freed.has_news() or books.queue.comparing()
+        if news and len(books.queue):
             return self._decided_at
         times_due = []
         delayed = books.queue.next_due()
@@ -182,10 +184,10 @@
             if claim.awaits_job or claim.job.not_before > now:
                 waiting.append(request_id)
                 continue
-            books.work.drop_claim(request_id)
-            reason = Reason("claimed", claim.reason)
-            plan = Plan(claim.members, claim.kind, [], reason)
-            self._place(claim.job, plan, now, decisions)
+            claim.number = books.next_number_by_id.get(request_id, 1)
+            claim.placed_at = now
+            books.work.start_claim(request_id)
+            self._announce(claim, Reason("claimed", claim.reason), decisions)
         self._ready_claims = waiting
 
     def _expire_claims(self, now: float) -> None:
@@ -210,14 +212,16 @@
         for request_id in sorted(books.holders):
             books.queue.wake_job(request_id)
         books.holders.clear()
-        if not books.freed.has_news():
+        if books.freed.has_news():
+            books.queue.compare_all()
+        books.freed.look()
+        if not books.queue.comparing():
             return
-        before = books.freed.look()
 
-        def could_help(group: GroupKey) -> bool:
-            return books.freed.is_news_for(group, books.urgent_group(group), before)
+        def could_help(group: GroupKey, since: int) -> bool:
+            return books.freed.is_news_for(group, books.urgent_group(group), since)
 
-        books.queue.wake(could_help)
+        books.queue.wake(could_help, books.freed.number, MAX_GROUPS_COMPARED)
 
     def _try_jobs(self, now: float, decisions: list[Decision]) -> None:
         """Try ready jobs, the accounts by turns."""
@@ -283,6 +287,8 @@
         task = self._task(job, plan, now)
         for victim in plan.victims:
             task.victims.add(victim.job.request_id)
+            if victim.stopping:
+                continue
             books.work.set_stopping(victim, True)
             decisions.append(
                 Preempt(
@@ -298,19 +304,24 @@
     def _place(
         self, job: Job, plan: Plan, now: float, decisions: list[Decision]
     ) -> None:
-        books = self._books
         task = self._task(job, plan, now)
-        books.work.start(task)
-        books.next_number_by_id[job.request_id] = task.number + 1
-        nodes = books.fleet.nodes(plan.members)
+        self._books.work.start(task)
+        self._announce(task, plan.reason, decisions)
+
+    def _announce(self, task: Task, reason: Reason, decisions: list[Decision]) -> None:
+        """Report a task that has just been counted as running."""
+        books = self._books
+        request_id = task.job.request_id
+        books.next_number_by_id[request_id] = task.number + 1
+        nodes = books.fleet.nodes(task.members)
         books.pace.placed({node.zone for node in nodes})
-        if plan.kind == Kind.BORROWER:
+        if task.kind == Kind.BORROWER:
             self._bring_home(task)
         borrowed = task.kind == Kind.BORROWER
         if task.kind == Kind.FIXED:
             borrowed = not books.work.covered(task)
         decisions.append(
-            Place(job.request_id, task.number, task.upstream_ids, borrowed, plan.reason)
+            Place(request_id, task.number, task.upstream_ids, borrowed, reason)
         )
 
     def _bring_home(self, task: Task) -> None:
