--- a/bench/cost.py
+++ b/bench/cost.py
@@ -35,9 +35,13 @@
 
     One decision is one call of ``decide``, the first after a fact (a job
     arrives or a task ends) together with observing it.  ``event_p99_s`` is the
-    time from a fact until nothing more is due.  ``growth_p99`` is the p99 at
-    the target size over that at a tenth; ``growth_logarithmic`` is what a
-    cost in proportion to the logarithm of the number of workers would give.
+    time from a fact until nothing more is due.  ``load_s`` is what a new
+    leader needs to build the scheduler, and ``zone_out_s`` what follows from
+    taking a third of the fleet out of service at once.
+
+    ``growth_p99`` is the p99 at the target size over that at a tenth;
+    ``growth_logarithmic`` is what a cost in proportion to the logarithm of
+    the number of workers would give.
     """
     tenth = _measure_at(seed, REGIONS / 10.0, WAITING // 10)
     target = _measure_at(seed, REGIONS, WAITING)
@@ -58,18 +62,26 @@
     _load(scheduler, workload, now)
     _add_waiting(scheduler, workload, waiting, now)
     wall_end = time.perf_counter() + WALL_LIMIT_S
-    _settle(scheduler, now, wall_end)
+    load_calls = _settle(scheduler, now, wall_end)
     settled = time.perf_counter() < wall_end
     load_s = time.perf_counter() - started
     wall_end = time.perf_counter() + WALL_LIMIT_S
     calls, events_s = _time_decisions(scheduler, workload, now, wall_end)
+    zone_started = time.perf_counter()
+    now += 60.0
+    scheduler.observe(ZoneChanged(workload.zones[0], False), now)
+    zone_calls = _settle(scheduler, now, wall_end)
+    zone_s = time.perf_counter() - zone_started
     return {
         "workers": len(workload.upstreams),
         "tasks": sum(len(ids) for _, ids in workload.running),
         "accounts": len(workload.accounts),
         "waiting": waiting,
         "load_s": load_s,
+        "load_max_call_s": max(load_calls, default=math.nan),
         "settled": settled,
+        "zone_out_s": zone_s,
+        "zone_out_max_call_s": max(zone_calls, default=math.nan),
         "events": len(events_s),
         "calls": len(calls),
         "p50_s": quantile(calls, 0.5),
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -275,7 +275,7 @@
             if attempt.outcome in ("", "finished", "checkpointed"):
                 done += _work(driver, attempt, zone, out, back, last)
     return {
-        "share": done / possible,
+        "share": done / possible if possible else math.nan,
         "done_accelerator_s": done,
         "possible_accelerator_s": possible,
         "starts_in_closed_zone": started_in_zone,
--- a/bench/scheduler.py
+++ b/bench/scheduler.py
@@ -41,11 +41,22 @@
     _print_cost(results["cost"])
     OUTPUT.mkdir(parents=True, exist_ok=True)
     path = OUTPUT / "scheduler.json"
-    path.write_text(json.dumps(results, indent=1, sort_keys=True))
+    path.write_text(json.dumps(_without_nan(results), indent=1))
     write_report(results, OUTPUT)
     return results
 
 
+def _without_nan(value):
+    """Replace figures that were not measured by ``None``: JSON has no NaN."""
+    if isinstance(value, dict):
+        return {key: _without_nan(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_without_nan(item) for item in value]
+    if isinstance(value, float) and math.isnan(value):
+        return None
+    return value
+
+
 def _compare(name: str) -> dict:
     """Run both policies over the same simulated time.
 
