--- a/test/daemon/fakes.py
+++ b/test/daemon/fakes.py
@@ -1,5 +1,7 @@
 """Fakes at the interfaces of the daemon."""
 
+import asyncio
+
 from persimmonyard.daemon.control.ledger import Ledger
 from persimmonyard.model import (
     ClassSpec,
@@ -8,6 +10,7 @@
     Shape,
     UpstreamSpec,
 )
+from persimmonyard.replication import ReplicaStatus, Role
 from persimmonyard.state.commands import (
     ApplyConfiguration,
     LogRecord,
@@ -26,8 +29,13 @@
     def __init__(self, ledger):
         self.ledger = ledger
         self.leads = True
+        self.term = 1
         self.proposals = 0
 
+    def status(self):
+        role = Role.LEADER if self.term else Role.FOLLOWER
+        return ReplicaStatus(role, self.term, "", 0, 0, 0, False, (), ())
+
     def is_leader(self):
         return self.leads
 
@@ -36,6 +44,8 @@
 
     async def propose(self, entry):
         self.proposals += 1
+        # A real commit takes time, in which other proposals may arrive.
+        await asyncio.sleep(0)
         return self.ledger.apply(self.proposals, entry)
 
 
@@ -53,6 +63,14 @@
         self.ledger.controllers = list(controllers)
         self.ledger.check_leadership()
 
+    def re_elect(self):
+        """Lose leadership and win it again in a later term."""
+        term = self.replica.term
+        self.replica.term = 0
+        self.ledger.check_leadership()
+        self.replica.term = term + 1
+        self.ledger.check_leadership()
+
     def run(self, command):
         """Apply one command."""
         return self.ledger.apply(0, encode_record(LogRecord("", self.now, command)))
--- a/test/daemon/test_assignments.py
+++ b/test/daemon/test_assignments.py
@@ -87,10 +87,7 @@
     async def test_new_leader_gives_entries_time_to_connect(self):
         """A change of leader must not move every attempt at once."""
         self.place("e1", started=True)
-        self.control.replica.leads = False
-        self.control.ledger.check_leadership()
-        self.control.replica.leads = True
-        self.control.ledger.check_leadership()
+        self.control.re_elect()
         self.connect("e2")
         await self.reassign()
         self.assertEqual(self.assignments.state(), {"e1": 1})
--- a/test/daemon/test_upstreams.py
+++ b/test/daemon/test_upstreams.py
@@ -66,10 +66,7 @@
     async def test_new_leader_grants_one_full_lease(self):
         """A new leader has heard nobody yet and must not lose everyone."""
         self.control.now += FULL_LEASE_S + 0.1
-        self.control.replica.leads = False
-        self.control.ledger.check_leadership()
-        self.control.replica.leads = True
-        self.control.ledger.check_leadership()
+        self.control.re_elect()
         self.assertEqual(await self.check(), UpstreamStatus.UP)
 
     async def test_each_upstream_has_one_deadline(self):
