Quarantine after three different jobs failed in a row

Cause: an upstream with a window of successes needed six failures before they outnumbered the successes three to one. Change: three different jobs in a row suffice, whatever came before.

--- a/packages/scheduler/src/persimmonyard/scheduler/health.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/health.py
@@ -132,12 +132,19 @@
         return len(failed) <= successes
 
     def _fails_everything(self, upstream: "_Upstream") -> bool:
+        """Judge the outcomes since the last success, and the whole window."""
         failed = set()
+        failed_in_a_row = set()
         successes = 0
         for outcome in upstream.outcomes:
-            successes += not outcome.failed
+            if not outcome.failed:
+                successes += 1
+                failed_in_a_row.clear()
             if self._counts(outcome):
                 failed.add(outcome.request_id)
+                failed_in_a_row.add(outcome.request_id)
+        if len(failed_in_a_row) >= FAILED_JOBS:
+            return True
         if len(failed) < FAILED_JOBS:
             return False
         return len(failed) >= FAILURES_PER_SUCCESS * successes
--- a/test/scheduler/test_health.py
+++ b/test/scheduler/test_health.py
@@ -39,6 +39,13 @@
         self.tracker.record_success("bad", "r-2", 0.0)
         self.assertIsNotNone(self.fail_jobs("bad", ["r-3", "r-4"]))
 
+    def test_earlier_successes_do_not_hide_an_upstream_that_turned_bad(self):
+        """Three different jobs in a row are enough after many successes."""
+        self.tracker.record_failure("bad", "r-0", 0.0)
+        for number in range(health.WINDOW):
+            self.tracker.record_success("bad", f"s-{number}", 0.0)
+        self.assertIsNotNone(self.fail_jobs("bad", ["r-1", "r-2", "r-3"]))
+
     def test_mostly_sound_upstream_stays_open(self):
         """An upstream that runs half of its jobs is not quarantined."""
         for number in range(20):
