Measure stranded accelerators for the waiting jobs as well

Cause: with one fixed mix, capacity that is idle because all work is done counts as fragmented. Change: a second figure takes the jobs that wait as the mix and counts no more than they ask for; failures on a bad upstream count until it is found.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from bench.workload import Incident, PlannedJob, Workload
-from persimmonyard.model import Adjacency, ResultCode
+from persimmonyard.model import Adjacency, ResultCode, Shape
 from persimmonyard.scheduler import (
     AttemptEnded,
     AttemptPlaced,
@@ -98,12 +98,15 @@
 class Sample:
     """The sound fleet in service at one moment, in accelerators.
 
-    ``demand`` is what running and waiting jobs ask for; ``at`` is in seconds.
+    ``stranded`` is for the mix of the whole workload, ``stranded_waiting`` for
+    the jobs that wait, and no more than they ask for.  ``demand`` is what
+    running and waiting jobs ask for.  ``at`` is in seconds.
     """
 
     at: float
     free: int
     stranded: float
+    stranded_waiting: float
     capacity: int
     demand: int
 
@@ -462,16 +465,26 @@
             free.append(FreeCapacity(spec.zone, spec.rack, resources, left[3]))
             capacity += spec.accelerators
         result = stranded_accelerators(free, self._mix)
-        demand = capacity - result.free + self._waiting_accelerators()
+        waiting = self._waiting_shapes()
+        asked = sum(shape.gang * shape.accelerators for shape in waiting)
+        mix = [Demand(shape) for shape in waiting]
+        stranded_waiting = min(asked, stranded_accelerators(free, mix).stranded)
         self.samples.append(
-            Sample(self.now, result.free, result.stranded, capacity, demand)
+            Sample(
+                at=self.now,
+                free=result.free,
+                stranded=result.stranded,
+                stranded_waiting=stranded_waiting,
+                capacity=capacity,
+                demand=capacity - result.free + asked,
+            )
         )
         self._at(self.now + SAMPLE_S, self._sample)
 
-    def _waiting_accelerators(self) -> int:
-        waiting = 0
+    def _waiting_shapes(self) -> list[Shape]:
+        waiting = []
         for request in self.request_by_id.values():
             if request.end or request.planned.fault or request.live() is not None:
                 continue
-            waiting += request.job.shape.gang * request.job.shape.accelerators
+            waiting.append(request.job.shape)
         return waiting
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Sequence
 
 from bench.driver import Attempt, Driver, Request
 from persimmonyard.model import Resources
@@ -222,8 +223,9 @@
         first_waits.append(started - submitted)
         waits.append(_useful_start(request, driver) - submitted)
     return {
-        "free_mean": sum(s.free for s in samples) / max(1, len(samples)),
-        "stranded_mean": sum(s.stranded for s in samples) / max(1, len(samples)),
+        "free_mean": _mean([s.free for s in samples]),
+        "stranded_mean": _mean([s.stranded for s in samples]),
+        "stranded_waiting_mean": _mean([s.stranded_waiting for s in samples]),
         "gang_accelerators": largest,
         "gangs": len(waits),
         "gang_wait_mean_s": _mean(waits),
@@ -246,7 +248,7 @@
     return driver.end
 
 
-def _mean(values: list[float]) -> float:
+def _mean(values: Sequence[float]) -> float:
     return sum(values) / len(values) if values else math.nan
 
 
@@ -304,20 +306,22 @@
 
 def _quarantines(driver: Driver) -> dict:
     bad = {i.target: i.at for i in driver.workload.incidents if i.kind == "bad"}
-    found = {}
+    found_at = {}
     for at, upstream_id in driver.quarantines:
-        if upstream_id in bad and upstream_id not in found:
-            found[upstream_id] = at - bad[upstream_id]
+        if upstream_id in bad:
+            found_at.setdefault(upstream_id, at)
     innocent = {name for _, name in driver.quarantines if name not in bad}
-    wasted = 0
+    failed_at = []
     for request in driver.request_by_id.values():
         for attempt in request.attempts:
             if attempt.outcome == "failed" and set(attempt.upstream_ids) & set(bad):
-                wasted += 1
+                failed_at.append(attempt.ended_at)
+    first_found = min(found_at.values(), default=math.inf)
     return {
-        "found_after_s": found,
+        "found": sorted(found_at),
         "innocent": sorted(innocent),
-        "attempts_failed_on_bad": wasted,
+        "attempts_failed_on_bad": len(failed_at),
+        "attempts_failed_before_found": sum(at < first_found for at in failed_at),
     }
 
 
