--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -1,6 +1,7 @@
 """The asyncio host of a replica core."""
 
 import asyncio
+import gc
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -147,7 +148,7 @@
             self._disk_thread, self._disk.load, self._config.replica_id
         )
         if loaded.snapshot is not None:
-            self._machine.restore(loaded.snapshot)
+            self._restore(loaded.snapshot)
             self._snapshot_bytes = len(loaded.snapshot)
         incarnation = loaded.identity.incarnation
         config = replace(self._config, incarnation=incarnation)
@@ -312,7 +313,7 @@
             case Apply(index, entry):
                 self._apply(index, entry.term, entry.kind, entry.data)
             case Restore():
-                self._machine.restore(self._received)
+                self._restore(self._received)
             case SendChunk(to, chunk):
                 self._run(self._send_chunk(to, chunk))
             case StoreChunk(chunk):
@@ -376,6 +377,20 @@
 
     # Snapshots.
 
+    def _restore(self, data: bytes) -> None:
+        """Restore the state without collections of garbage meanwhile.
+
+        Everything that is created stays, and collections took half of the
+        time for a state of 47,000 tasks.
+        """
+        enabled = gc.isenabled()
+        gc.disable()
+        try:
+            self._machine.restore(data)
+        finally:
+            if enabled:
+                gc.enable()
+
     def _consider_snapshot(self, core: ReplicaCore) -> None:
         """Save a snapshot when the log outweighs the state."""
         limit = max(SNAPSHOT_AFTER_BYTES, self._snapshot_bytes)
