--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/membership.py
@@ -0,0 +1,57 @@
+"""Operators add and remove replicas through the leader's HTTP port."""
+
+from typing import Any
+
+from litestar import Request, delete, post
+from litestar.handlers import HTTPRouteHandler
+
+from persimmonyard.daemon.tokens import matches_any
+from persimmonyard.model import PersimmonyardError, ResultCode
+from persimmonyard.replication import MemberChangeError, Replica
+
+__all__ = ["member_handlers"]
+
+
+def member_handlers(
+    replica: Replica, operator_token_hashes: list[str]
+) -> list[HTTPRouteHandler]:
+    """Return the handlers; they answer before the change is committed.
+
+    ``GET /dump`` shows the voters and learners that are in force.
+    """
+
+    def check(request: Request) -> None:
+        header = request.headers.get("authorization", "")
+        if not matches_any(header.removeprefix("Bearer "), operator_token_hashes):
+            raise PersimmonyardError(ResultCode.UNAUTHENTICATED, "unknown token")
+        if not replica.is_leader():
+            hint = replica.leader_hint() or "another replica"
+            raise PersimmonyardError(ResultCode.NOT_LEADER, f"ask {hint}")
+
+    @post("/members/{name:str}")
+    async def add(request: Request, name: str, data: dict[str, str]) -> dict[str, Any]:
+        check(request)
+        address = data.get("address", "")
+        if not address:
+            raise PersimmonyardError(
+                ResultCode.MISSING_FIELD, "give the host and port", field="address"
+            )
+        if name not in (*replica.status().voters, *replica.status().learners):
+            await _change(replica.add_member(name, address))
+        return replica.status()._asdict()
+
+    @delete("/members/{name:str}", status_code=200)
+    async def remove(request: Request, name: str) -> dict[str, Any]:
+        check(request)
+        if name in (*replica.status().voters, *replica.status().learners):
+            await _change(replica.remove_member(name))
+        return replica.status()._asdict()
+
+    return [add, remove]
+
+
+async def _change(change: Any) -> None:
+    try:
+        await change
+    except MemberChangeError as error:
+        raise PersimmonyardError(ResultCode.IN_USE, str(error)) from error
--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -9,12 +9,14 @@
 from litestar import Litestar, get
 
 from persimmonyard.daemon.control.ledger import Ledger
+from persimmonyard.daemon.control.membership import member_handlers
 from persimmonyard.daemon.control.scheduling import SchedulingController
 from persimmonyard.daemon.control.service import ControlService
 from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.control.upstreams import UpstreamController
 from persimmonyard.daemon.control.views import status
+from persimmonyard.daemon.errors import exception_handlers
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.settings import Settings
@@ -137,4 +139,6 @@
         async def health() -> dict[str, bool]:
             return {"leading": ledger.leading}
 
-        return Litestar([dump, health])
+        hashes = self._settings.access.operator_token_hashes
+        members = member_handlers(self._replica, hashes)
+        return Litestar([dump, health, *members], exception_handlers=exception_handlers)
--- a/test/daemon/test_replicas.py
+++ b/test/daemon/test_replicas.py
@@ -18,7 +18,7 @@
     PersimmonyardError,
     ResultCode,
 )
-from persimmonyard.standin.deployment import Deployment
+from persimmonyard.standin.deployment import Deployment, free_port
 from persimmonyard.state.commands import ApplyConfiguration
 
 DEADLINE_S = 40.0
@@ -203,6 +203,54 @@
         await self.stop_load()
         await self.check_nothing_is_lost()
 
+    async def change_members(self, method, name, token, **body):
+        """Ask the leader for a change until it is not refused as too early."""
+
+        async def ask():
+            leader = await self.find_leader()
+            port = self.deployment.http_port_by_name.get(leader, 1)
+            url = f"http://127.0.0.1:{port}/members/{name}"
+            headers = {"Authorization": f"Bearer {token}"}
+            try:
+                reply = await self.http.request(method, url, json=body, headers=headers)
+            except httpx.HTTPError:
+                return 0
+            return 0 if reply.json().get("code") in (405, 601) else reply.status_code
+
+        return await self.until(ask)
+
+    async def test_added_replica_counts_and_removed_one_does_not(self):
+        """The group grows to four, loses its leader, and shrinks again."""
+        name = "control-4"
+        self.deployment.grpc_port_by_name[name] = free_port()
+        self.deployment.http_port_by_name[name] = free_port()
+        self.deployment._write_settings(name)
+        self.deployment.start_process(name)
+        port = self.deployment.grpc_port_by_name[name]
+        place = {"address": f"127.0.0.1:{port}"}
+        token = self.deployment.operator_token
+        refused = await self.change_members("POST", name, "wrong", **place)
+        self.assertEqual(refused, 401)
+        self.assertEqual(await self.change_members("POST", name, token, **place), 201)
+        await self.until(lambda: self.has_recovered(name))
+        self.client = self.client_of([*self.names, name])
+        await self.commit("grown")
+        leader = await self.until(self.find_leader)
+        self.deployment.kill_process(leader)
+        await self.commit("grown-without-leader")
+        self.deployment.start_process(leader)
+        await self.until(lambda: self.has_recovered(leader))
+        await self.change_members("DELETE", name, token)
+
+        async def is_removed():
+            found = await self.status(await self.find_leader() or self.names[0])
+            return name not in found["replica"].get("voters", [name])
+
+        await self.until(is_removed)
+        self.deployment.kill_process(name)
+        await self.commit("shrunk")
+        await self.check_nothing_is_lost()
+
     async def test_damaged_log_stops_the_process(self):
         """A control process refuses to guess at a damaged log."""
         for number in range(3):
