Bound a batch between replicas by its size

A batch was bounded by 64 messages only. Four entries of the largest size (256 answers of 65,536 bytes) in one batch exceeded the 32 MB that a gRPC message may have, and the stream would have failed again and again. A batch now ends with the message that passes 1 MB.

--- a/packages/daemon/src/persimmonyard/daemon/control/transport.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/transport.py
@@ -10,13 +10,21 @@
 import msgspec
 
 from persimmonyard.daemon.logs import get_logger
-from persimmonyard.replication import Message, decode_batch, encode_batch
+from persimmonyard.replication import (
+    Message,
+    decode_batch,
+    encode_batch,
+    payload_bytes,
+)
 from persimmonyard.wire.generated import control_pb2, control_pb2_grpc
 
 __all__ = ["MESSAGE_OPTIONS", "GrpcTransport"]
 
 MAX_QUEUED = 4_096
 MAX_BATCH = 64
+# A batch ends with the message that passes this size, so that a window of
+# the largest entries never exceeds the limit of one gRPC message.
+MAX_BATCH_BYTES = 1 << 20
 RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
 
@@ -59,8 +67,11 @@
         """Return the queued messages as one envelope."""
         await self._wake.wait()
         batch: list[Message] = []
-        while self._queue and len(batch) < MAX_BATCH:
-            batch.append(self._queue.popleft())
+        size = 0
+        while self._queue and len(batch) < MAX_BATCH and size < MAX_BATCH_BYTES:
+            message = self._queue.popleft()
+            size += payload_bytes(message)
+            batch.append(message)
         if not self._queue:
             self._wake.clear()
         return control_pb2.Envelope(body=encode_batch(batch))
--- a/packages/replication/src/persimmonyard/replication/__init__.py
+++ b/packages/replication/src/persimmonyard/replication/__init__.py
@@ -1,6 +1,7 @@
 """A replicated log and the storage under it."""
 
-from persimmonyard.replication.core import CoreConfig, DurableState, ReplicaCore
+from persimmonyard.replication.config import CoreConfig, DurableState
+from persimmonyard.replication.core import ReplicaCore
 from persimmonyard.replication.disk import Disk, FileDisk
 from persimmonyard.replication.errors import (
     LOG_DAMAGED,
@@ -11,13 +12,18 @@
     OutcomeUnknownError,
 )
 from persimmonyard.replication.folder import initialize
-from persimmonyard.replication.messages import Message, decode_batch, encode_batch
-from persimmonyard.replication.replica import (
-    Replica,
+from persimmonyard.replication.interface import (
     ReplicaStatus,
     ReplicatedStateMachine,
     Transport,
 )
+from persimmonyard.replication.messages import (
+    Message,
+    decode_batch,
+    encode_batch,
+    payload_bytes,
+)
+from persimmonyard.replication.replica import Replica
 
 __all__ = [
     "LOG_DAMAGED",
@@ -39,4 +45,5 @@
     "decode_batch",
     "encode_batch",
     "initialize",
+    "payload_bytes",
 ]
--- a/packages/replication/src/persimmonyard/replication/core.py
+++ b/packages/replication/src/persimmonyard/replication/core.py
@@ -2,9 +2,9 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 
+from persimmonyard.replication.config import CoreConfig, DurableState, usable_log
 from persimmonyard.replication.errors import SYNC_FAILED
 from persimmonyard.replication.events import (
     Action,
@@ -56,41 +56,7 @@
 from persimmonyard.replication.sync_queue import SyncQueue
 from persimmonyard.replication.voter import Voter
 
-__all__ = ["CoreConfig", "DurableState", "ReplicaCore"]
-
-
-@dataclass(frozen=True)
-class CoreConfig:
-    """Identity and durations, in seconds, of one replica.
-
-    ``lease_s`` is shorter than ``election_min_s`` even if the clock rates of
-    two replicas differ by 10%.  ``peers`` are asked for recovery when the
-    members are not known.
-    """
-
-    replica_id: str
-    incarnation: str
-    peers: tuple[str, ...] = ()
-    heartbeat_s: float = 0.2
-    election_min_s: float = 0.6
-    election_max_s: float = 1.2
-    lease_s: float = 0.5
-    transfer_s: float = 1.0
-    batch_bytes: int = 1 << 20
-    window: int = 4
-    trailing_entries: int = 1_000
-    seed: int = 0
-
-
-@dataclass
-class DurableState:
-    """What a replica finds in its folder when it starts."""
-
-    term: int = 0
-    voted_for: str = ""
-    base: BaseRecord = field(default_factory=lambda: BaseRecord(0, 0))
-    entries: list[Entry] = field(default_factory=list)
-    snapshot: SnapshotMeta = field(default_factory=SnapshotMeta)
+__all__ = ["ReplicaCore"]
 
 
 class ReplicaCore:
@@ -109,7 +75,7 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.snapshot = durable.snapshot
-        base, entries = _usable_log(durable)
+        base, entries = usable_log(durable)
         self.log = MemoryLog(
             base.index, base.term, durable.snapshot.index, durable.snapshot.members
         )
@@ -332,19 +298,3 @@
         while self.applied < self.commit:
             self.applied += 1
             self.act(Apply(self.applied, self.log.entry(self.applied)))
-
-
-def _usable_log(durable: DurableState) -> tuple[BaseRecord, list[Entry]]:
-    """Return the log, or an empty one if the snapshot does not join it.
-
-    That is so when the replica stopped between storing a snapshot of the
-    leader and replacing its log.
-    """
-    snapshot = durable.snapshot
-    position = snapshot.index - durable.base.index
-    joined = position == 0 and durable.base.term == snapshot.term
-    if 0 < position <= len(durable.entries):
-        joined = durable.entries[position - 1].term == snapshot.term
-    if joined:
-        return durable.base, durable.entries
-    return BaseRecord(snapshot.index, snapshot.term), []
--- a/packages/replication/src/persimmonyard/replication/disk.py
+++ b/packages/replication/src/persimmonyard/replication/disk.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import NamedTuple, Protocol
 
-from persimmonyard.replication.core import DurableState
+from persimmonyard.replication.config import DurableState
 from persimmonyard.replication.errors import LogDamagedError
 from persimmonyard.replication.events import (
     BaseRecord,
--- a/packages/replication/src/persimmonyard/replication/messages.py
+++ b/packages/replication/src/persimmonyard/replication/messages.py
@@ -24,6 +24,7 @@
     "VoteReply",
     "decode_batch",
     "encode_batch",
+    "payload_bytes",
 ]
 
 
@@ -228,6 +229,17 @@
     | TimeoutNow
 )
 
+
+def payload_bytes(message: Message) -> int:
+    """Return the size of the entries or the snapshot data in a message."""
+    match message:
+        case Append(entries=entries):
+            return sum(len(entry.data) for entry in entries)
+        case Chunk(data=data):
+            return len(data)
+    return 0
+
+
 _encoder = msgspec.msgpack.Encoder()
 _batch_decoder: msgspec.msgpack.Decoder[list[Message]] = msgspec.msgpack.Decoder(
     list[Message]
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
-from persimmonyard.replication.core import CoreConfig, ReplicaCore
+from persimmonyard.replication.config import CoreConfig
+from persimmonyard.replication.core import ReplicaCore
 from persimmonyard.replication.disk import Disk
 from persimmonyard.replication.errors import (
     SYNC_FAILED,
@@ -40,58 +41,20 @@
     TransferRequested,
     Write,
 )
+from persimmonyard.replication.interface import (
+    ReplicaStatus,
+    ReplicatedStateMachine,
+    Transport,
+)
 from persimmonyard.replication.messages import Chunk, EntryKind, Message, SnapshotMeta
 
-__all__ = ["Replica", "ReplicaStatus", "ReplicatedStateMachine", "Transport"]
+__all__ = ["Replica"]
 
 MAX_PROPOSALS_IN_FLIGHT = 4_096
 SNAPSHOT_AFTER_BYTES = 16 << 20
 TRANSFER_WAIT_S = 2.0
 
 
-class ReplicatedStateMachine(Protocol):
-    """What the replica applies committed entries to."""
-
-    def apply(self, index: int, entry: bytes) -> Any:
-        """Apply a committed entry and return its result."""
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, data: bytes) -> None:
-        """Replace the whole state."""
-
-
-class Transport(Protocol):
-    """Carries messages between replicas; any of them may be lost."""
-
-    async def start(self, receive: Callable[[str, Message], None]) -> None:
-        """Start to deliver messages with the names of their senders."""
-
-    async def stop(self) -> None:
-        """Stop delivering and sending."""
-
-    def send(self, to: str, message: Message) -> None:
-        """Queue a message without waiting; drop it if the queue is full."""
-
-    def set_addresses(self, address_by_name: dict[str, str]) -> None:
-        """Take the addresses that the members of the group have now."""
-
-
-class ReplicaStatus(NamedTuple):
-    """What an operator sees of a replica."""
-
-    role: str
-    term: int
-    leader: str
-    commit: int
-    applied: int
-    last_index: int
-    recovering: bool
-    voters: tuple[str, ...]
-    learners: tuple[str, ...]
-
-
 class _Proposal(NamedTuple):
     entry: bytes
     future: asyncio.Future
--- a/test/replication/cluster.py
+++ b/test/replication/cluster.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from persimmonyard.replication import events
-from persimmonyard.replication.core import CoreConfig, DurableState, ReplicaCore
+from persimmonyard.replication.config import CoreConfig, DurableState
+from persimmonyard.replication.core import ReplicaCore
 from persimmonyard.replication.disk import durable_state
 from persimmonyard.replication.errors import MemberChangeError
 from persimmonyard.replication.messages import (
