--- a/packages/daemon/src/persimmonyard/daemon/control/transport.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/transport.py
@@ -10,13 +10,21 @@
 import msgspec
 
 from persimmonyard.daemon.logs import get_logger
-from persimmonyard.replication import Message, decode_batch, encode_batch
+from persimmonyard.replication import (
+    Message,
+    decode_batch,
+    encode_batch,
+    payload_bytes,
+)
 from persimmonyard.wire.generated import control_pb2, control_pb2_grpc
 
 __all__ = ["MESSAGE_OPTIONS", "GrpcTransport"]
 
 MAX_QUEUED = 4_096
 MAX_BATCH = 64
+# A batch ends with the message that passes this size, so that a window of
+# the largest entries never exceeds the limit of one gRPC message.
+MAX_BATCH_BYTES = 1 << 20
 RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
 
@@ -25,7 +33,7 @@
 MESSAGE_OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
-    # Probes of the bandwidth would double the frames of small messages.
+    # Measuring the bandwidth costs a ping for each heartbeat.
     ("grpc.http2.bdp_probe", 0),
 ]
 _CHANNEL_OPTIONS = [
@@ -59,8 +67,11 @@
         """Return the queued messages as one envelope."""
         await self._wake.wait()
         batch: list[Message] = []
-        while self._queue and len(batch) < MAX_BATCH:
-            batch.append(self._queue.popleft())
+        size = 0
+        while self._queue and len(batch) < MAX_BATCH and size < MAX_BATCH_BYTES:
+            message = self._queue.popleft()
+            size += payload_bytes(message)
+            batch.append(message)
         if not self._queue:
             self._wake.clear()
         return control_pb2.Envelope(body=encode_batch(batch))
@@ -126,7 +137,7 @@
                     if await self._open(name, channel):
                         delay = RETRY_DELAY_S
             except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
-                self._logger.info("stream ended", peer=name, error=str(error)[:200])
+                self._logger.info("stream ended", peer=name, error=str(error))
             await asyncio.sleep(delay * random.uniform(0.5, 1.0))
             delay = min(MAX_RETRY_DELAY_S, delay * 2)
 
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -1,13 +1,15 @@
 """The asyncio host of a replica core."""
 
 import asyncio
+import gc
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
-from persimmonyard.replication.core import CoreConfig, ReplicaCore
+from persimmonyard.replication.config import CoreConfig
+from persimmonyard.replication.core import ReplicaCore
 from persimmonyard.replication.disk import Disk
 from persimmonyard.replication.errors import (
     SYNC_FAILED,
@@ -39,58 +41,20 @@
     TransferRequested,
     Write,
 )
+from persimmonyard.replication.interface import (
+    ReplicaStatus,
+    ReplicatedStateMachine,
+    Transport,
+)
 from persimmonyard.replication.messages import Chunk, EntryKind, Message, SnapshotMeta
 
-__all__ = ["Replica", "ReplicaStatus", "ReplicatedStateMachine", "Transport"]
+__all__ = ["Replica"]
 
 MAX_PROPOSALS_IN_FLIGHT = 4_096
 SNAPSHOT_AFTER_BYTES = 16 << 20
 TRANSFER_WAIT_S = 2.0
 
 
-class ReplicatedStateMachine(Protocol):
-    """What the replica applies committed entries to."""
-
-    def apply(self, index: int, entry: bytes) -> Any:
-        """Apply a committed entry and return its result."""
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, data: bytes) -> None:
-        """Replace the whole state."""
-
-
-class Transport(Protocol):
-    """Carries messages between replicas; any of them may be lost."""
-
-    async def start(self, receive: Callable[[str, Message], None]) -> None:
-        """Start to deliver messages with the names of their senders."""
-
-    async def stop(self) -> None:
-        """Stop delivering and sending."""
-
-    def send(self, to: str, message: Message) -> None:
-        """Queue a message without waiting; drop it if the queue is full."""
-
-    def set_addresses(self, address_by_name: dict[str, str]) -> None:
-        """Take the addresses that the members of the group have now."""
-
-
-class ReplicaStatus(NamedTuple):
-    """What an operator sees of a replica."""
-
-    role: str
-    term: int
-    leader: str
-    commit: int
-    applied: int
-    last_index: int
-    recovering: bool
-    voters: tuple[str, ...]
-    learners: tuple[str, ...]
-
-
 class _Proposal(NamedTuple):
     entry: bytes
     future: asyncio.Future
@@ -147,7 +111,7 @@
             self._disk_thread, self._disk.load, self._config.replica_id
         )
         if loaded.snapshot is not None:
-            self._machine.restore(loaded.snapshot)
+            self._restore(loaded.snapshot)
             self._snapshot_bytes = len(loaded.snapshot)
         incarnation = loaded.identity.incarnation
         config = replace(self._config, incarnation=incarnation)
@@ -312,7 +276,7 @@
             case Apply(index, entry):
                 self._apply(index, entry.term, entry.kind, entry.data)
             case Restore():
-                self._machine.restore(self._received)
+                self._restore(self._received)
             case SendChunk(to, chunk):
                 self._run(self._send_chunk(to, chunk))
             case StoreChunk(chunk):
@@ -376,6 +340,20 @@
 
     # Snapshots.
 
+    def _restore(self, data: bytes) -> None:
+        """Restore the state without collections of garbage meanwhile.
+
+        Everything that is created stays, and collections took half of the
+        time for a state of 47,000 tasks.
+        """
+        enabled = gc.isenabled()
+        gc.disable()
+        try:
+            self._machine.restore(data)
+        finally:
+            if enabled:
+                gc.enable()
+
     def _consider_snapshot(self, core: ReplicaCore) -> None:
         """Save a snapshot when the log outweighs the state."""
         limit = max(SNAPSHOT_AFTER_BYTES, self._snapshot_bytes)
