Fuzz longer isolations and preemptions of running work

Checkpoints were rare, and the oracle missed checkpointed attempts that the record had dropped.

Change: gangs run on for several leases while one upstream is isolated, preemptions hit running requests, and checkpointed attempts are noted as they appear. A unit test covers the member that stopped, and the test of the links checks that a new attempt interrupts the long poll.

--- a/test/daemon/test_dispatch.py
+++ b/test/daemon/test_dispatch.py
@@ -122,6 +122,13 @@
         self.assertEqual(report.outcome, AttemptOutcome.FAILED)
         self.assertEqual((report.failed_members, report.message), ((1,), "x"))
 
+    def test_member_that_does_not_run_stops_the_others(self):
+        """A gang does not wait for a lease to notice a missing member."""
+        for state in ("prepared", "stopped", "unknown"):
+            core = self.running(2)
+            actions = core.step(MembersRenewed(1.0, (status(0, state),)), 1.0)
+            self.assertEqual([one.call for one in actions], ["stop", "stop"])
+
     def test_stop_of_finished_tasks_fetches_their_answers(self):
         """An answer that came before a cancellation is not thrown away."""
         core = self.running()
@@ -180,6 +187,7 @@
     def __init__(self):
         self.sent = []
         self.renewals = []
+        self.interrupted = 0
 
     async def task_call(self, call, order, member):
         self.sent.append((call, order.fence))
@@ -188,7 +196,11 @@
 
     async def renew(self, target, tasks, wait_s):
         self.renewals.append([task["attempt"] for task in tasks])
-        await asyncio.sleep(wait_s)
+        try:
+            await asyncio.sleep(wait_s)
+        except asyncio.CancelledError:
+            self.interrupted += 1
+            raise
         statuses = []
         for task in tasks:
             statuses.append(TaskStatus(task["attempt"], task["member"], "running"))
@@ -233,15 +245,16 @@
         self.assertEqual(self.dispatcher.count(), 1)
 
     async def test_one_call_renews_all_attempts_on_an_upstream(self):
-        """The number of renewals does not grow with the attempts."""
+        """The next attempt interrupts the long poll and joins it."""
         first = order()
         self.dispatcher.take_order(first)
-        await self.until(lambda: self.calls.renewals)
+        await self.until(lambda: len(self.calls.renewals) > 1)
         second = DispatchOrder(
             "s", 1, 2, DispatchAction.ADOPT, first.members, 1, 1, 1, 1.0, False, b""
         )
         self.dispatcher.take_order(second)
         await self.until(lambda: self.calls.renewals[-1] == ["r.1", "s.1"])
+        self.assertEqual(self.calls.interrupted, 1)
 
     async def test_newer_fence_replaces_the_run(self):
         """An older order changes nothing, a newer one takes over."""
--- a/test/state/life_cycle.py
+++ b/test/state/life_cycle.py
@@ -451,7 +451,7 @@
             if all(record.ended() for record in self.machine.request_by_id.values()):
                 return True
             self.turn(number, 400)
-            self.advance(0.5)
+            self.advance(1.0)
         return False
 
     def outcomes(self):
--- a/test/state/test_life_cycle.py
+++ b/test/state/test_life_cycle.py
@@ -24,7 +24,7 @@
 
 PICK = st.integers(0, 1_000)
 GANG = st.sampled_from((1, 1, 2, 3))
-RUN_S = st.sampled_from((0.1, 2.0, 20.0))
+RUN_S = st.sampled_from((0.1, 2.0, 20.0, 200.0))
 ROUNDING_S = 0.01
 
 
@@ -38,6 +38,7 @@
         self.dead_since = {}
         self.fence_at = {}
         self.seen_starts = 0
+        self.checkpointed = {}
 
     def check(self):
         self.check_starts()
@@ -63,10 +64,12 @@
             record = world.machine.request_by_id[request_id]
             if record.idempotent:
                 continue
-            allowed = 1
+            # Old attempts are dropped from the record, so they are noted.
+            checkpointed = self.checkpointed.setdefault(request_id, set())
             for attempt in record.attempts:
                 if attempt.outcome == AttemptOutcome.CHECKPOINTED:
-                    allowed += 1
+                    checkpointed.add(attempt.number)
+            allowed = 1 + len(checkpointed)
             assert count <= allowed, f"{request_id} ran {count} times"
             repeated = from_nothing[(request_id, member)] > 1
             assert not repeated, f"{request_id} began from nothing again"
@@ -173,9 +176,9 @@
             self.world.submit(gang, idempotent, True, run_s)
 
     @rule(
-        turns=st.integers(1, 5),
+        turns=st.integers(1, 8),
         messages=st.sampled_from((2, 5, 400)),
-        seconds=st.sampled_from((0.1, 0.5)),
+        seconds=st.sampled_from((0.1, 0.5, 2.0)),
         first=st.integers(0, 3),
     )
     def go_on(self, turns, messages, seconds, first):
@@ -190,17 +193,24 @@
         self.world.expire_sessions()
 
     @precondition(has_requests)
-    @rule(kind=st.sampled_from(("cancel", "stop", "checkpoint")), number=PICK)
-    def end_early(self, kind, number):
-        record = self.record(number)
-        attempt = record.live_attempt()
-        if kind == "cancel":
-            self.world.commit(CancelRequest(record.request_id, "clinic"))
-        elif attempt is not None:
-            command = StopAttempt(
-                record.request_id, attempt.number, kind == "checkpoint", "preempted"
-            )
-            self.world.commit(command)
+    @rule(number=PICK)
+    def cancel(self, number):
+        self.world.commit(CancelRequest(self.record(number).request_id, "clinic"))
+
+    def running(self):
+        found = []
+        for record in self.world.machine.request_by_id.values():
+            if record.state == RequestState.STARTED:
+                found.append(record)
+        return found
+
+    @precondition(running)
+    @rule(checkpoint=st.sampled_from((True, True, False)), number=PICK)
+    def preempt(self, checkpoint, number):
+        record = self.pick(self.running(), number)
+        number = record.attempts[-1].number
+        command = StopAttempt(record.request_id, number, checkpoint, "preempted")
+        self.world.commit(command)
 
     @rule(zone=st.sampled_from(("z0", "z1")), in_service=st.booleans())
     def change_zone(self, zone, in_service):
@@ -253,6 +263,19 @@
                 self.world.set_status(upstream, UpstreamStatus.LEAVING)
                 self.oracle.closed_at.setdefault(upstream.name, self.world.now)
 
+    def has_running_gang(self):
+        return any(record.shape.gang > 1 for record in self.running())
+
+    @precondition(has_running_gang)
+    @rule(number=PICK)
+    def isolate_for_long(self, number):
+        """Let the members of gangs elsewhere go on for some leases."""
+        self.upstream(number).reachable = False
+        for _ in range(20):
+            self.world.turn(number, 400)
+            self.world.advance(2.0)
+            self.oracle.check()
+
     @rule(
         number=PICK,
         fail_all=st.booleans(),
