--- /dev/null
+++ b/test/daemon/test_liveness.py
@@ -0,0 +1,62 @@
+"""Tests of persimmonyard.daemon.control.upstreams."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from persimmonyard.daemon.control import upstreams
+from persimmonyard.daemon.control.upstreams import UpstreamController
+from persimmonyard.model import UpstreamSpec
+from persimmonyard.state import StateMachine
+from persimmonyard.state.commands import (
+    LogRecord,
+    RegisterUpstream,
+    SetUpstreamStatus,
+)
+from persimmonyard.state.records import UpstreamStatus
+from persimmonyard.wire import UpstreamHeartbeat
+
+SPEC = UpstreamSpec("up-1", "a", "z", "r", "127.0.0.1:1", 8, 64, 1024)
+
+
+class FakeLedger:
+    """Commits to a state machine of its own."""
+
+    leading = True
+
+    def __init__(self):
+        self.machine = StateMachine()
+
+    async def commit(self, command, identity=""):
+        return self.machine.apply_record(LogRecord(identity, 1.0, command))
+
+
+class ReturnTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.ledger = FakeLedger()
+        lost = SetUpstreamStatus("up-1", "a", UpstreamStatus.LOST)
+        for command in (RegisterUpstream(SPEC), lost):
+            await self.ledger.commit(command)
+        self.controller = UpstreamController(self.ledger)
+        self.controller.lead()
+
+    async def status_after(self, heartbeat):
+        """Return the status after a heartbeat and a few checks."""
+        with mock.patch.object(upstreams, "LIVENESS_CHECK_S", 0.01):
+            self.controller.heard((heartbeat,))
+            run = asyncio.create_task(self.controller.run())
+            await asyncio.sleep(0.2)
+            run.cancel()
+        return self.ledger.machine.upstream_by_id["up-1"].status
+
+    async def test_lost_upstream_that_is_heard_again_is_up(self):
+        """A heartbeat of the same start brings a lost upstream back."""
+        heartbeat = UpstreamHeartbeat("up-1", "a", 0.1)
+        self.assertEqual(await self.status_after(heartbeat), UpstreamStatus.UP)
+
+    async def test_old_or_foreign_heartbeats_do_not_count(self):
+        """A heartbeat kept for long, or of another start, changes nothing."""
+        old = UpstreamHeartbeat("up-1", "a", 30.0)
+        self.assertEqual(await self.status_after(old), UpstreamStatus.LOST)
+        foreign = UpstreamHeartbeat("up-1", "b", 0.1)
+        self.assertEqual(await self.status_after(foreign), UpstreamStatus.LOST)
