Measure a burst above the accounts' limits

Cause: the benchmark's closed-loop callers never met a refusal, so it did not show whether refusals are truthful.

Change: 400 submissions at once against 40 in progress for each of four accounts; 100 refused keys are audited.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -34,6 +34,9 @@
 SATURATING_CALLERS = 16
 FACTORS = (1, 2, 4)
 CALL_TIMEOUT_S = 60.0
+BURST_REQUESTS = 400
+BURST_MAX_WAITING = 40
+AUDITED_REFUSALS = 100
 PAYLOAD = base64.b64encode(json.dumps({"run_s": RUN_S}).encode()).decode()
 ANSWER = b"answer:0:" + base64.b64decode(PAYLOAD)
 
@@ -77,6 +80,23 @@
             await asyncio.gather(*jobs)
         return tally
 
+    async def burst(self, count: int) -> Tally:
+        """Submit ``count`` requests at once, without waiting for answers."""
+        tally = Tally()
+        async with httpx.AsyncClient(
+            trust_env=False,
+            timeout=CALL_TIMEOUT_S,
+            limits=httpx.Limits(max_connections=count),
+        ) as client:
+            jobs = []
+            for number in range(count):
+                account = ACCOUNTS[number % len(ACCOUNTS)]
+                url = self._urls[number % len(self._urls)]
+                key = f"burst-{number}"
+                jobs.append(self._one(client, url, account, key, tally, 0.0))
+            await asyncio.gather(*jobs)
+        return tally
+
     async def _caller(
         self,
         client: httpx.AsyncClient,
@@ -93,7 +113,13 @@
             await self._one(client, url, account, f"k{self._serial}", tally)
 
     async def _one(
-        self, client: httpx.AsyncClient, url: str, account: str, key: str, tally: Tally
+        self,
+        client: httpx.AsyncClient,
+        url: str,
+        account: str,
+        key: str,
+        tally: Tally,
+        wait_s: float = 30.0,
     ) -> None:
         body = {
             "class": "fit",
@@ -102,7 +128,7 @@
             "declared_run_s": 1.0,
             "idempotent": False,
             "payload": PAYLOAD,
-            "wait_s": 30.0,
+            "wait_s": wait_s,
         }
         began = time.monotonic()
         headers = {"Authorization": f"Bearer {account}-token"}
@@ -195,17 +221,25 @@
     deployment.start()
     for number in range(UPSTREAMS):
         deployment.start_upstream(f"up-{number}", "karen-bench", f"rack-{number}")
+    _set_accounts(deployment, 1_000)
+    while len(_operate(deployment, "GET", "status")["upstreams"]) < UPSTREAMS:
+        time.sleep(0.1)
+
+
+def _set_accounts(deployment: Deployment, max_waiting: int) -> None:
     changes: list[dict[str, Any]] = [{"work_class": {"name": "fit"}}]
     for account in ACCOUNTS:
-        fields = {"name": account, "token_hashes": [hash_token(f"{account}-token")]}
+        fields = {
+            "name": account,
+            "token_hashes": [hash_token(f"{account}-token")],
+            "max_waiting": max_waiting,
+        }
         changes.append({"client_account": fields})
     reply = _operate(
         deployment, "POST", "configuration", {"changes": changes, "wait_s": 30}
     )
     if not reply.get("in_force"):
         raise RuntimeError(f"the configuration is not in force: {reply}")
-    while len(_operate(deployment, "GET", "status")["upstreams"]) < UPSTREAMS:
-        time.sleep(0.1)
 
 
 def _operate(deployment: Deployment, method: str, path: str, body: Any = None) -> Any:
@@ -237,7 +271,7 @@
             told = (await client.get(f"{path}/explain", headers=headers)).json()
             began = [a for a in told["attempts"] if a["outcome"] != "never_began"]
             counts["doubled"] += len(began) > 1
-        for account, key in list(tally.refused_keys)[:50]:
+        for account, key in list(tally.refused_keys)[:AUDITED_REFUSALS]:
             headers = {"Authorization": f"Bearer {account}-token"}
             # Another body under the same key is refused only if the key is
             # recorded.
@@ -280,9 +314,24 @@
             **_latencies(tally.latencies_s),
             **await _audit(deployment.entry_url(1), tally),
         }
+    found["burst"] = await _measure_burst(deployment, callers)
     return found
 
 
+async def _measure_burst(deployment: Deployment, callers: Callers) -> dict[str, Any]:
+    """Submit far more at once than the accounts may have in progress."""
+    await asyncio.to_thread(_set_accounts, deployment, BURST_MAX_WAITING)
+    tally = await callers.burst(BURST_REQUESTS)
+    await asyncio.to_thread(_set_accounts, deployment, 1_000)
+    return {
+        "submitted": BURST_REQUESTS,
+        "accepted": len(tally.accepted_by_key),
+        "refusals_by_code": tally.refusals_by_code,
+        "unknown": len(tally.unknown_keys),
+        **await _audit(deployment.entry_url(1), tally),
+    }
+
+
 def run() -> dict[str, Any]:
     """Return the measurements; ratios are to direct use in the same run."""
     with tempfile.TemporaryDirectory() as folder:
