Bound the time of callers that do not read, and test the stop's edges

Cause: a caller that stopped reading its response held a connection for ever, and the two rules that keep a stop from cutting calls were tested only by chance, under load.

Change: a connection whose writes are paused for http.headers_s is closed. Deterministic tests cover a connection without a call yet and one in the kernel's queue. The unused matches_any is gone.

--- a/packages/daemon/src/persimmonyard/daemon/http_server.py
+++ b/packages/daemon/src/persimmonyard/daemon/http_server.py
@@ -26,7 +26,8 @@
 
     ``port`` is the bound port, also if the settings asked for port 0.  At
     most ``connections`` connections are open at a time, and each has
-    ``headers_s`` seconds to send the headers of a call.
+    ``headers_s`` seconds to send the headers of a call, and to go on reading
+    a response.
     """
 
     def __init__(
@@ -113,6 +114,7 @@
         """HTTP with a limit of connections and a deadline for headers."""
 
         _headers_timer: asyncio.TimerHandle | None = None
+        _write_timer: asyncio.TimerHandle | None = None
         _last_call = False
 
         def connection_made(self, transport: Any) -> None:
@@ -138,6 +140,17 @@
                 if self._last_call:
                     self.cycle.keep_alive = False
 
+        def pause_writing(self) -> None:
+            """Give a caller that does not read its response a deadline."""
+            super().pause_writing()
+            self._write_timer = self.loop.call_later(headers_s, self.transport.abort)
+
+        def resume_writing(self) -> None:
+            super().resume_writing()
+            if self._write_timer is not None:
+                self._write_timer.cancel()
+                self._write_timer = None
+
         def shutdown(self) -> None:
             """Close the connection, after its first call if it is new.
 
--- a/packages/daemon/src/persimmonyard/daemon/tokens.py
+++ b/packages/daemon/src/persimmonyard/daemon/tokens.py
@@ -2,9 +2,8 @@
 
 import hashlib
 import hmac
-from collections.abc import Iterable
 
-__all__ = ["TokenIndex", "hash_token", "matches_any"]
+__all__ = ["TokenIndex", "hash_token"]
 
 
 def hash_token(token: str) -> str:
@@ -15,15 +14,6 @@
     return hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
 
 
-def matches_any(token: str, hashes: Iterable[str]) -> bool:
-    """Return whether a token has one of the hashes, in constant time."""
-    digest = hash_token(token)
-    found = False
-    for known in hashes:
-        found |= hmac.compare_digest(digest, known)
-    return found
-
-
 class TokenIndex:
     """Find the owner of a token among many hashes.
 
--- a/test/daemon/test_filters.py
+++ b/test/daemon/test_filters.py
@@ -92,7 +92,46 @@
         self.assertEqual(await self.code_from(reader), 100)
 
 
+class StopTests(ServerCase):
+    REQUEST = b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    async def test_new_connection_may_still_bring_its_first_call(self):
+        """A connection that was opened before the stop is not cut."""
+        await self.serve()
+        reader, writer = await self.connect()
+        await self.until(lambda: self.server.connection_count() == 1)
+        stop = asyncio.create_task(self.server.stop())
+        await asyncio.sleep(0.3)
+        writer.write(self.REQUEST)
+        answer = await asyncio.wait_for(reader.read(), DEADLINE_S)
+        self.assertIn(b"lease_valid", answer)
+        await asyncio.wait_for(stop, DEADLINE_S)
+
+    async def test_queued_connection_is_accepted_before_the_listener_closes(self):
+        """A call that waits in the kernel's queue gets its answer."""
+        await self.serve()
+        await self.until(lambda: self.server._server.started)
+        # No await until the listener has closed: the loop accepts nothing.
+        caller = socket.create_connection(("127.0.0.1", self.server.port))
+        self.addCleanup(caller.close)
+        caller.sendall(self.REQUEST)
+        self.server.stop_listening()
+        caller.settimeout(DEADLINE_S)
+        answer = await asyncio.to_thread(caller.recv, 65_536)
+        self.assertIn(b"200 OK", answer)
+
+
 class SocketTests(ServerCase):
+    async def test_caller_that_does_not_read_is_cut_off(self):
+        """A response that nobody reads holds its connection for a time."""
+        await self.serve(headers_s=0.2)
+        await self.connect()
+        await self.until(lambda: self.server.connection_count() == 1)
+        (connection,) = self.server._server.server_state.connections
+        connection._clear_timer()
+        connection.pause_writing()
+        await self.until(lambda: self.server.connection_count() == 0)
+
     async def test_responses_are_not_held_back_by_the_kernel(self):
         """Accepted sockets send the body without waiting for an ACK."""
         await self.serve()
