Keep litestar from logging every call of httpx

Cause: litestar's default logging writes plain lines at level INFO, one for each HTTP call to an upstream, between the JSON lines. After a restart of the control process, gRPC's reconnect back-off of 1 s and more delayed the entries.

Change: no logging configuration by litestar in entries, control processes and stand-ins; log lines are written in one piece; reconnect back-off between 0.1 and 1 s. The shutdown test checks that every line of every process is JSON.

--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -100,4 +100,4 @@
         async def health() -> dict[str, bool]:
             return {"leading": ledger.leading}
 
-        return Litestar([dump, health])
+        return Litestar([dump, health], logging_config=None)
--- a/packages/daemon/src/persimmonyard/daemon/entry/app.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/app.py
@@ -76,6 +76,9 @@
             exception_handlers=exception_handlers,
             request_max_body_size=None,
             openapi_config=None,
+            # The default writes plain lines at level INFO, one for each
+            # call of httpx.
+            logging_config=None,
         )
 
     def health(self) -> Response[Any]:
--- a/packages/daemon/src/persimmonyard/daemon/entry/replicas.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/replicas.py
@@ -9,9 +9,16 @@
 
 __all__ = ["Replicas", "never_sent"]
 
-# A push with the outcomes of many requests may be larger than the default
-# limit of 4 MB.
-CHANNEL_OPTIONS = [("grpc.max_receive_message_length", 64 << 20)]
+CHANNEL_OPTIONS = [
+    # A push with the outcomes of many requests may be larger than the
+    # default limit of 4 MB.
+    ("grpc.max_receive_message_length", 64 << 20),
+    # The default of 1 s, doubling up to 120 s, delays the return of a
+    # process that was restarted.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+]
 
 # grpcio reports a refused connection and one that broke in the middle of a
 # call with the same status; only this text tells them apart.
--- a/packages/daemon/src/persimmonyard/daemon/logs.py
+++ b/packages/daemon/src/persimmonyard/daemon/logs.py
@@ -26,7 +26,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
     )
     structlog.contextvars.bind_contextvars(process=process, zone=zone)
     _set_up_library_logs()
--- a/packages/standin/src/persimmonyard/standin/upstream.py
+++ b/packages/standin/src/persimmonyard/standin/upstream.py
@@ -124,7 +124,7 @@
             status = 409 if "name" in reply else 200
             return Response(reply, status_code=status)
 
-        return Litestar([task_call])
+        return Litestar([task_call], logging_config=None)
 
 
 async def _serve(settings: StandinSettings) -> None:
--- a/test/daemon/test_shutdown.py
+++ b/test/daemon/test_shutdown.py
@@ -130,6 +130,13 @@
         self.assertGreater(len(load.ended), CALLERS)
         self.assertEqual(self.attempts_left(deployment), 0)
         await self.check_all_ran_once(deployment, load)
+        self.check_logs(deployment)
+
+    def check_logs(self, deployment):
+        """Every line of every process is one JSON object."""
+        for name in ("entry-1", "entry-2", "control-1"):
+            for line in (deployment.folder / f"{name}.log").read_text().splitlines():
+                self.assertIn("event", json.loads(line))
 
     async def states_of_long(self, deployment):
         """Return the states of the long requests; their keys join them."""
