--- a/packages/daemon/src/persimmonyard/daemon/control/assignments.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/assignments.py
@@ -162,7 +162,7 @@
         if session is None:
             return
         sent = session.sent_by_request.get(record.request_id)
-        current = (attempt.fence, attempt.state.value)
+        current = (attempt.fence, f"{attempt.state} {attempt.lost_members}")
         if sent == current:
             return
         session.sent_by_request[record.request_id] = current
--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -155,4 +155,8 @@
 
         hashes = self._settings.access.operator_token_hashes
         members = member_handlers(self._replica, hashes)
-        return Litestar([dump, health, *members], exception_handlers=exception_handlers)
+        return Litestar(
+            [dump, health, *members],
+            exception_handlers=exception_handlers,
+            logging_config=None,
+        )
