Test evacuation without room and the wake-up of owners

Cause: two mutations survived: preempting in a closed zone without room, and not waking an owner whose cells become unused.

--- a/test/scheduler/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -84,6 +84,23 @@
         self.world.decide()
         self.assertTrue({"one", "two"} <= set(self.world.running))
 
+    def test_owner_is_tried_again_when_its_cells_are_unused(self):
+        """Cells that become unused wake the owner although others use them."""
+        self.add(1)
+        self.world.set_account("a", Shape(1, 4, 4, 400))
+        self.submit("r1", "a", 1, 2, idempotent=False)
+        self.submit("r2", "a", 1, 2, idempotent=False)
+        self.world.decide()
+        self.submit("whole", "a", 1, 4)
+        self.submit("borrower", "b", 1, 2)
+        self.world.decide()
+        self.world.end("r1")
+        self.world.decide()
+        self.assertIn("borrower", self.world.running)
+        self.world.end("r2")
+        self.world.decide()
+        self.assertEqual(self.preempted(), [("borrower", False)])
+
     def test_unstoppable_work_stays_off_guaranteed_capacity(self):
         """Work that cannot be stopped waits although capacity is idle."""
         self.add(1)
@@ -356,9 +373,11 @@
             self.submit(f"r{number}", "a", 1, 1, idempotent=number > 0)
         for _ in range(3):
             self.world.decide()
+        self.world.set_zone("z1", False)
+        self.world.decide(0.2)
+        self.assertEqual(self.preempted(), [])
         for number in range(10):
             self.world.add(upstream(f"v{number}", zone="z2"))
-        self.world.set_zone("z1", False)
         for _ in range(5):
             self.world.decide(0.2)
         self.assertLessEqual(len(self.preempted()), 20)
