--- a/packages/scheduler/src/persimmonyard/scheduler/freed.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/freed.py
@@ -87,10 +87,13 @@
         if self._floor > since:
             return True
         need = member_need(group.shape)
+        too_full: set[tuple[str, str]] = set()
         for node in self._since(since):
             if not self._fleet.usable(node):
                 continue
-            if covers(node.free, need) and self._gang_may_fit(node, group.shape):
+            if covers(node.free, need) and self._gang_may_fit(
+                node, group.shape, too_full
+            ):
                 return True
             if urgent and covers(node.reclaimable(node.calm_borrowed), need):
                 return True
@@ -106,18 +109,40 @@
             nodes.append(self._fleet.node_by_id[node_id])
         return nodes
 
-    def _gang_may_fit(self, node: Node, shape: Shape) -> bool:
+    def _gang_may_fit(
+        self, node: Node, shape: Shape, too_full: set[tuple[str, str]]
+    ) -> bool:
+        """Return whether accelerators allow the gang around a node.
+
+        ``too_full`` collects the places that were found not to.
+        """
         if shape.gang == 1:
             return True
+        place = _place(node, shape)
+        if place in too_full:
+            return False
+        if self._members_in(place, shape) >= shape.gang:
+            return True
+        too_full.add(place)
+        return False
+
+    def _members_in(self, place: tuple[str, str], shape: Shape) -> int:
         need = member_need(shape)
-        match shape.adjacency:
-            case Adjacency.RACK:
-                index = self._fleet.index(node.zone, View.FREE)
-                return index.members(need, node.rack) >= shape.gang
-            case Adjacency.ZONE:
-                index = self._fleet.index(node.zone, View.FREE)
-                return index.members(need) >= shape.gang
+        zone, rack = place
+        if rack:
+            return self._fleet.index(zone, View.FREE).members(need, place)
+        if zone:
+            return self._fleet.index(zone, View.FREE).members(need)
         total = 0
         for _, index in self._fleet.indexes(View.FREE):
             total += index.members(need)
-        return total >= shape.gang
+        return total
+
+
+def _place(node: Node, shape: Shape) -> tuple[str, str]:
+    match shape.adjacency:
+        case Adjacency.RACK:
+            return node.rack
+        case Adjacency.ZONE:
+            return (node.zone, "")
+    return ("", "")
