--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -88,7 +88,7 @@
         books = self._books
         if books.queue.any_ready() or books.layout.pending or books.ended:
             return self._decided_at
-        news = books.freed.has_news() or books.queue.comparing()
+        news = books.freed.has_news() or books.queue.comparing() or bool(books.holders)
         if news and len(books.queue):
             return self._decided_at
         times_due = []
