--- a/packages/scheduler/src/persimmonyard/scheduler/health.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/health.py
@@ -134,7 +134,7 @@
     def _fails_everything(self, upstream: "_Upstream") -> bool:
         """Judge the outcomes since the last success, and the whole window."""
         failed = set()
-        failed_in_a_row = set()
+        failed_in_a_row: set[str] = set()
         successes = 0
         for outcome in upstream.outcomes:
             if not outcome.failed:
