--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -31,6 +31,7 @@
 MAX_FAILED_SEARCHES = 4
 MAX_BLOCKS_LAID = 16
 MAX_GROUPS_COMPARED = 128
+MAX_MEMBERS = 128
 
 # Jobs of one account that are tried in a row before another account's turn.
 TRIES_IN_A_ROW = 4
@@ -59,6 +60,7 @@
         self._decided_at = 0.0
         self._warmed_at = 0.0
         self._failed_searches = 0
+        self._members_handled = 0
         self._ready_claims: list[str] = []
 
     def observe(self, event: Event, now: float) -> None:
@@ -232,9 +234,12 @@
         tries_by_account: dict[str, int] = {}
         tries = 0
         self._failed_searches = 0
+        self._members_handled = 0
         while heads and tries < MAX_TRIES and len(decisions) < MAX_DECISIONS:
             if self._failed_searches >= MAX_FAILED_SEARCHES:
                 break
+            if self._members_handled >= MAX_MEMBERS:
+                break
             _, _, urgency, account = heapq.heappop(heads)
             tries += 1
             tries_by_account[account] = tries_by_account.get(account, 0) + 1
@@ -276,6 +281,7 @@
         self, job: Job, plan: Plan, now: float, decisions: list[Decision]
     ) -> None:
         books = self._books
+        self._members_handled += job.shape.gang + len(plan.victims)
         group = books.queue.group(job.request_id)
         books.queue.remove(job.request_id)
         for node_id in books.holds.drop(job.request_id):
