--- a/test/daemon/test_scheduling.py
+++ b/test/daemon/test_scheduling.py
@@ -25,7 +25,7 @@
     AttemptState,
     RequestState,
 )
-from test.daemon.fakes import UPSTREAM, FakeControl
+from test.daemon.control_fakes import UPSTREAM, FakeControl
 
 
 class OneEntry:
--- a/test/daemon/test_upstreams.py
+++ b/test/daemon/test_upstreams.py
@@ -6,7 +6,7 @@
 from persimmonyard.daemon.timing import CLOCK_MARGIN, UPSTREAM_LEASE_S
 from persimmonyard.state.records import UpstreamStatus
 from persimmonyard.wire import UpstreamHeartbeat
-from test.daemon.fakes import FakeControl
+from test.daemon.control_fakes import FakeControl
 
 FULL_LEASE_S = UPSTREAM_LEASE_S * CLOCK_MARGIN
 
