Print and keep the figures of every benchmark that is run by name

Cause: a module that returns its figures ran without showing them, and a missing module was reported as measured above under its second name. Change: bench/run.py prints and writes the returned figures; a missing module is not present under each of its names.

--- a/bench/run.py
+++ b/bench/run.py
@@ -2,12 +2,15 @@
 
 import importlib
 import importlib.util
+import json
 import sys
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+OUTPUT = ROOT / "build" / "bench"
+
 MODULE_BY_NAME = {
     "scheduler": "bench.scheduler",
     "decision_cost": "bench.decision_cost",
@@ -16,6 +19,7 @@
     "overload": "bench.requests",
     "idle": "bench.idle",
 }
+PRINTS_ITSELF = {"scheduler"}
 
 
 def main(names: list[str]) -> int:
@@ -30,23 +34,30 @@
     for name in names or MODULE_BY_NAME:
         module_name = MODULE_BY_NAME[name]
         print(f"== {name}", flush=True)
+        if importlib.util.find_spec(module_name) is None:
+            print("not present")
+            continue
         if module_name in ran:
             print(f"measured above, with the rest of {module_name}")
             continue
         ran.add(module_name)
-        if importlib.util.find_spec(module_name) is None:
-            print("not present")
-            continue
         status |= _run(name, module_name)
     return status
 
 
 def _run(name: str, module_name: str) -> int:
+    """Run one module, keep its figures as JSON and print them."""
     try:
-        importlib.import_module(module_name).run()
+        result = importlib.import_module(module_name).run()
     except Exception as error:
         print(f"{name} failed: {error!r}")
         return 1
+    if name in PRINTS_ITSELF:
+        return 0
+    text = json.dumps(result, indent=1, default=str)
+    OUTPUT.mkdir(parents=True, exist_ok=True)
+    (OUTPUT / f"{name}.json").write_text(text)
+    print(text)
     return 0
 
 
