--- a/bench/report.py
+++ b/bench/report.py
@@ -36,7 +36,8 @@
     for name, measured in results["workloads"].items():
         image = f"scheduler-{name}.svg"
         _plot(name, measured, folder / image)
-        parts.append(f"<h2>{html.escape(name)}</h2><img src='{image}' alt='plots of {html.escape(name)}'>")
+        title = html.escape(name)
+        parts.append(f"<h2>{title}</h2><img src='{image}' alt='plots of {title}'>")
         parts.append(_ratio_table(measured))
         parts.append(_class_table(measured))
     parts.append(_cost_table(results.get("cost", {})))
