--- a/packages/daemon/src/persimmonyard/daemon/control/membership.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/membership.py
@@ -5,7 +5,7 @@
 from litestar import Request, delete, post
 from litestar.handlers import HTTPRouteHandler
 
-from persimmonyard.daemon.tokens import matches_any
+from persimmonyard.daemon.tokens import TokenIndex
 from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.replication import MemberChangeError, Replica
 
@@ -19,10 +19,13 @@
 
     ``GET /dump`` shows the voters and learners that are in force.
     """
+    operators = TokenIndex()
+    for digest in operator_token_hashes:
+        operators.add(digest, "operator")
 
     def check(request: Request) -> None:
         header = request.headers.get("authorization", "")
-        if not matches_any(header.removeprefix("Bearer "), operator_token_hashes):
+        if operators.owner_of(header.removeprefix("Bearer ")) is None:
             raise PersimmonyardError(ResultCode.UNAUTHENTICATED, "unknown token")
         if not replica.is_leader():
             hint = replica.leader_hint() or "another replica"
--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -10,8 +10,8 @@
 
 from persimmonyard.daemon.control.assignments import AssignmentController
 from persimmonyard.daemon.control.ledger import Ledger
-from persimmonyard.daemon.control.retention import RetentionController
 from persimmonyard.daemon.control.membership import member_handlers
+from persimmonyard.daemon.control.retention import RetentionController
 from persimmonyard.daemon.control.scheduling import SchedulingController
 from persimmonyard.daemon.control.service import ControlService
 from persimmonyard.daemon.control.sessions import SessionController
--- a/packages/daemon/src/persimmonyard/daemon/control/retention.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/retention.py
@@ -40,15 +40,9 @@
                 await self._expire(time.time() - RETENTION_S)
 
     async def _expire(self, before: float) -> None:
-        while self._due(before):
+        while self._ledger.machine.has_expired(before):
             try:
                 await self._ledger.commit(ExpireRecords(before, EXPIRED_PER_COMMAND))
             except PersimmonyardError as error:
                 self._logger.warning("removal not committed", error=str(error))
                 return
-
-    def _due(self, before: float) -> bool:
-        for record in self._ledger.machine.request_by_id.values():
-            if record.ended_at is not None and record.ended_at < before:
-                return True
-        return False
--- a/packages/state/src/persimmonyard/state/machine.py
+++ b/packages/state/src/persimmonyard/state/machine.py
@@ -86,6 +86,10 @@
         known = self._store.contents.result_by_identity.get(identity)
         return None if known is None else known.result
 
+    def has_expired(self, before: float) -> bool:
+        """Return whether a kept request ended before ``before``."""
+        return self._store.has_expired(before)
+
     def drain_changes(self) -> list[Change]:
         """Return the changes since the last call, in order."""
         changes = self._store.changes
--- a/packages/state/src/persimmonyard/state/store.py
+++ b/packages/state/src/persimmonyard/state/store.py
@@ -256,6 +256,12 @@
 
     # Retention.
 
+    def has_expired(self, before: float) -> bool:
+        """Return whether a request ended before ``before``."""
+        for ended_at in self.contents.ended_at_by_id.values():
+            return ended_at < before
+        return False
+
     def expire(self, before: float, limit: int) -> None:
         """Remove at most ``limit`` requests and ``limit`` lost upstreams.
 
--- /dev/null
+++ b/test/daemon/test_retention.py
@@ -0,0 +1,34 @@
+"""Tests of persimmonyard.daemon.control.retention."""
+
+import unittest
+
+from persimmonyard.daemon.control.retention import RetentionController
+from persimmonyard.state.commands import CancelRequest
+from test.daemon.control_fakes import FakeControl
+
+
+class RetentionControllerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_only_requests_past_their_retention_are_removed(self):
+        """A record that callers may still ask for must stay."""
+        control = FakeControl()
+        control.set_up()
+        retention = RetentionController(control.ledger)
+        control.lead(retention)
+        for request_id in ("old", "live"):
+            control.submit(request_id)
+        control.run(CancelRequest("old", "clinic"))
+        control.now += 100.0
+        control.submit("new")
+        control.run(CancelRequest("new", "clinic"))
+        await retention._expire(control.now - 50.0)
+        self.assertEqual(set(control.ledger.machine.request_by_id), {"live", "new"})
+
+    async def test_nothing_is_committed_while_nothing_is_due(self):
+        """An idle system must not write to its log every minute."""
+        control = FakeControl()
+        control.set_up()
+        retention = RetentionController(control.ledger)
+        control.lead(retention)
+        before = control.replica.proposals
+        await retention._expire(control.now)
+        self.assertEqual(control.replica.proposals, before)
