--- a/bench/run.py
+++ b/bench/run.py
@@ -18,6 +18,7 @@
     "latency": "bench.requests",
     "overload": "bench.requests",
     "idle": "bench.idle",
+    "slopes": "bench.slopes",
 }
 PRINTS_ITSELF = {"scheduler"}
 
