--- a/packages/daemon/src/persimmonyard/daemon/control/service.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/service.py
@@ -92,6 +92,7 @@
     async def _apply_configuration(
         self, command: ApplyConfiguration, identity: str
     ) -> CommandResult:
+        await self._scheduling.loaded.wait()
         async with self._guarantee_lock:
             if self._ledger.machine.known_result(identity) is None:
                 self._check_guarantees(command)
--- a/test/daemon/test_service.py
+++ b/test/daemon/test_service.py
@@ -28,6 +28,8 @@
     def __init__(self, room):
         self.room = room
         self.scheduler = self
+        self.loaded = asyncio.Event()
+        self.loaded.set()
 
     def check_guarantees(self, accounts):
         count = sum(len(account.guarantee) for account in accounts)
