Submit a request after loading has passed the requests

Cause: the test of changes during loading passed with those changes dropped. Change: the request arrives after the list of requests was read. Result: passes, and fails with the changes dropped.

--- a/test/daemon/test_scheduling.py
+++ b/test/daemon/test_scheduling.py
@@ -160,7 +160,9 @@
         for number in range(3):
             self.control.submit(f"r-{number}")
         self.controller.lead()
-        next(self.controller._unloaded)
+        # The configuration, the upstream and the first request.
+        for _ in range(3):
+            next(self.controller._unloaded)
         self.control.submit("r-late")
         self.assertFalse(self.controller.loaded.is_set())
         self.load(self.controller)
