Show guarantees at risk and metrics on control processes

Cause: nothing showed which guarantees are at risk; control processes had no metrics; their dump could be read without a token; two tests used a function of the deployment that no longer exists. Change: control/inspection.py serves dump (operators only), metrics and health; the operators' status lists guarantees at risk; Deployment.reserve_port.

--- a/packages/daemon/src/persimmonyard/daemon/control/membership.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/membership.py
@@ -5,7 +5,7 @@
 from litestar import Request, delete, post
 from litestar.handlers import HTTPRouteHandler
 
-from persimmonyard.daemon.tokens import TokenIndex
+from persimmonyard.daemon.control.operators import OperatorCheck
 from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.replication import MemberChangeError, Replica
 
@@ -13,20 +13,15 @@
 
 
 def member_handlers(
-    replica: Replica, operator_token_hashes: list[str]
+    replica: Replica, check_operator: OperatorCheck
 ) -> list[HTTPRouteHandler]:
     """Return the handlers; they answer before the change is committed.
 
     ``GET /dump`` shows the voters and learners that are in force.
     """
-    operators = TokenIndex()
-    for digest in operator_token_hashes:
-        operators.add(digest, "operator")
 
     def check(request: Request) -> None:
-        header = request.headers.get("authorization", "")
-        if operators.owner_of(header.removeprefix("Bearer ")) is None:
-            raise PersimmonyardError(ResultCode.UNAUTHENTICATED, "unknown token")
+        check_operator(request)
         if not replica.is_leader():
             hint = replica.leader_hint() or "another replica"
             raise PersimmonyardError(ResultCode.NOT_LEADER, f"ask {hint}")
--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -3,22 +3,20 @@
 import asyncio
 import random
 from pathlib import Path
-from typing import Any
 
 import grpc
-from litestar import Litestar, get
+from litestar import Litestar
 
 from persimmonyard.daemon.control.assignments import AssignmentController
+from persimmonyard.daemon.control.inspection import Inspected, build_inspection_app
 from persimmonyard.daemon.control.ledger import Ledger
-from persimmonyard.daemon.control.membership import member_handlers
+from persimmonyard.daemon.control.operators import OperatorCheck
 from persimmonyard.daemon.control.retention import RetentionController
 from persimmonyard.daemon.control.scheduling import SchedulingController
 from persimmonyard.daemon.control.service import ControlService
 from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.control.upstreams import UpstreamController
-from persimmonyard.daemon.control.views import status
-from persimmonyard.daemon.errors import exception_handlers
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.settings import Settings
@@ -135,28 +133,14 @@
             await asyncio.sleep(LEADERSHIP_CHECK_S)
 
     def _build_app(self) -> Litestar:
-        ledger = self._ledger
-
-        @get("/dump")
-        async def dump() -> dict[str, Any]:
-            return {
-                "process": self._settings.process.name,
-                "leading": ledger.leads(),
-                "replica": self._replica.status()._asdict(),
-                "state": status(ledger.machine),
-                "sessions": self._sessions.state(),
-                "attempts_by_entry": self._assignments.state(),
-                "heartbeats": self._upstreams.state(),
-            }
-
-        @get("/health")
-        async def health() -> dict[str, bool]:
-            return {"leading": ledger.leads()}
-
-        hashes = self._settings.access.operator_token_hashes
-        members = member_handlers(self._replica, hashes)
-        return Litestar(
-            [dump, health, *members],
-            exception_handlers=exception_handlers,
-            logging_config=None,
+        parts = Inspected(
+            self._settings.process.name,
+            self._ledger,
+            self._replica,
+            self._sessions,
+            self._assignments,
+            self._scheduling,
+            self._upstreams,
         )
+        hashes = self._settings.access.operator_token_hashes
+        return build_inspection_app(parts, OperatorCheck(hashes))
--- a/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -129,6 +129,12 @@
                 if record is not None:
                     self._feed_request(record)
 
+    def guarantees_at_risk(self) -> list[dict[str, object]]:
+        """Return the guaranteed shapes that do not fit, once loaded."""
+        if not self.loaded.is_set():
+            return []
+        return [one._asdict() for one in self.scheduler.guarantees_at_risk()]
+
     # Loading.
 
     def _load_steps(self) -> Iterator[None]:
--- a/packages/daemon/src/persimmonyard/daemon/control/service.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/service.py
@@ -138,7 +138,10 @@
             case "configuration":
                 return msgspec.json.encode(machine.configuration)
             case "status":
-                return msgspec.json.encode(status(machine))
+                at_risk = self._scheduling.guarantees_at_risk()
+                return msgspec.json.encode(
+                    status(machine) | {"guarantees_at_risk": at_risk}
+                )
             case "in_force":
                 version, _, wait_s = item_id.partition("/")
                 done = await self._sessions.wait_in_force(int(version), float(wait_s))
--- a/packages/standin/src/persimmonyard/standin/deployment.py
+++ b/packages/standin/src/persimmonyard/standin/deployment.py
@@ -14,13 +14,13 @@
 
 from persimmonyard.standin.relay import Relay
 
-__all__ = ["Deployment", "reserve_port"]
+__all__ = ["Deployment", "hold_port"]
 
 START_DEADLINE_S = 30.0
 STOP_DEADLINE_S = 40.0
 
 
-def reserve_port() -> socket.socket:
+def hold_port() -> socket.socket:
     """Return a socket that keeps a loopback port from being handed out.
 
     The socket does not listen, so a server may still bind the port.
@@ -58,10 +58,10 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         control_names = [f"control-{n + 1}" for n in range(self.controls)]
         for name in control_names:
-            self.grpc_port_by_name[name] = self._reserve_port()
+            self.grpc_port_by_name[name] = self.reserve_port()
         entry_names = [f"entry-{n + 1}" for n in range(self.entries)]
         for name in [*control_names, *entry_names]:
-            self.http_port_by_name[name] = self._reserve_port()
+            self.http_port_by_name[name] = self.reserve_port()
             self._write_settings(name)
         self._initialize(control_names)
         for name in [*control_names, *entry_names]:
@@ -69,8 +69,9 @@
         for name in entry_names:
             self.wait_ready(name)
 
-    def _reserve_port(self) -> int:
-        holder = reserve_port()
+    def reserve_port(self) -> int:
+        """Return a loopback port that stays free until ``stop``."""
+        holder = hold_port()
         self.port_holders.append(holder)
         port: int = holder.getsockname()[1]
         return port
--- a/test/daemon/test_partitions.py
+++ b/test/daemon/test_partitions.py
@@ -45,12 +45,16 @@
         until(lambda: self.operate(1, changes).get("in_force"))
         until(lambda: self.submit(1, "warm-up").get("state") == "finished")
 
+    def operator_headers(self):
+        """Return the headers of an operator's calls."""
+        return {"Authorization": f"Bearer {self.deployment.operator_token}"}
+
     def operate(self, entry, changes):
         """Apply changes through an entry and wait until they are in force."""
         return httpx.post(
             f"{self.deployment.entry_url(entry)}/v1/operator/configuration",
             json={"changes": changes, "wait_s": 30.0},
-            headers={"Authorization": f"Bearer {self.deployment.operator_token}"},
+            headers=self.operator_headers(),
             timeout=60.0,
         ).json()
 
@@ -102,7 +106,8 @@
         url = f"http://127.0.0.1:{self.deployment.http_port_by_name[old]}/dump"
 
         def version_at_old():
-            state = httpx.get(url, timeout=5.0).json()["state"]
+            reply = httpx.get(url, headers=self.operator_headers(), timeout=5.0)
+            state = reply.json()["state"]
             return state["configuration_version"]
 
         until(lambda: version_at_old() >= accepted)
--- a/test/daemon/test_replicas.py
+++ b/test/daemon/test_replicas.py
@@ -18,7 +18,7 @@
     PersimmonyardError,
     ResultCode,
 )
-from persimmonyard.standin.deployment import Deployment, free_port
+from persimmonyard.standin.deployment import Deployment
 from persimmonyard.state.commands import ApplyConfiguration
 
 DEADLINE_S = 40.0
@@ -105,9 +105,10 @@
 
     async def status(self, name):
         """Return the dump of a control process, or nothing if it is down."""
-        port = self.deployment.http_port_by_name[name]
+        url = f"http://127.0.0.1:{self.deployment.http_port_by_name[name]}/dump"
+        headers = {"Authorization": f"Bearer {self.deployment.operator_token}"}
         try:
-            return (await self.http.get(f"http://127.0.0.1:{port}/dump")).json()
+            return (await self.http.get(url, headers=headers)).json()
         except httpx.HTTPError:
             return {"leading": False, "replica": {}}
 
@@ -222,8 +223,8 @@
     async def test_added_replica_counts_and_removed_one_does_not(self):
         """The group grows to four, loses its leader, and shrinks again."""
         name = "control-4"
-        self.deployment.grpc_port_by_name[name] = free_port()
-        self.deployment.http_port_by_name[name] = free_port()
+        self.deployment.grpc_port_by_name[name] = self.deployment.reserve_port()
+        self.deployment.http_port_by_name[name] = self.deployment.reserve_port()
         self.deployment._write_settings(name)
         self.deployment.start_process(name)
         port = self.deployment.grpc_port_by_name[name]
