Adapt the liveness test to the ledger's clock and lease check

Cause: the ledger's leading flag became leads(), and controllers take its clock. Change: the fake ledger has both; the checks are the same.

--- a/packages/standin/src/persimmonyard/standin/deployment.py
+++ b/packages/standin/src/persimmonyard/standin/deployment.py
@@ -14,13 +14,13 @@
 
 from persimmonyard.standin.relay import Relay
 
-__all__ = ["Deployment", "hold_port"]
+__all__ = ["Deployment", "reserve_port"]
 
 START_DEADLINE_S = 30.0
 STOP_DEADLINE_S = 40.0
 
 
-def hold_port() -> socket.socket:
+def reserve_port() -> socket.socket:
     """Return a socket that keeps a loopback port from being handed out.
 
     The socket does not listen, so a server may still bind the port.
@@ -71,7 +71,7 @@
 
     def reserve_port(self) -> int:
         """Return a loopback port that stays free until ``stop``."""
-        holder = hold_port()
+        holder = reserve_port()
         self.port_holders.append(holder)
         port: int = holder.getsockname()[1]
         return port
--- a/test/daemon/test_liveness.py
+++ b/test/daemon/test_liveness.py
@@ -1,6 +1,7 @@
 """Tests of persimmonyard.daemon.control.upstreams."""
 
 import asyncio
+import time
 import unittest
 from unittest import mock
 
@@ -22,10 +23,12 @@
 class FakeLedger:
     """Commits to a state machine of its own."""
 
-    leading = True
-
     def __init__(self):
         self.machine = StateMachine()
+        self.clock = time.monotonic
+
+    def leads(self):
+        return True
 
     async def commit(self, command, identity=""):
         return self.machine.apply_record(LogRecord(identity, 1.0, command))
