Test that NOT_LEADER inside a reply is sent again

When leadership ends in the middle of an Execute call, single results carry NOT_LEADER. The leader client puts such commands back and sends them to the next leader; no test covered this. The client needs no change.

The new test passes with the client as it is, and fails with [0, 601] if _take_results gives NOT_LEADER to the caller.

--- a/test/daemon/test_leader.py
+++ b/test/daemon/test_leader.py
@@ -206,6 +206,32 @@
         work = client.execute(CancelRequest("r-1", "a"), account="a")
         self.assertEqual(await self.code_of(work), ResultCode.TIMEOUT)
 
+    async def test_command_refused_inside_a_reply_goes_to_the_next_leader(self):
+        """NOT_LEADER in a single result is sent again, not answered."""
+        old, new = FakeControl(), FakeControl()
+
+        async def lose_leadership(commands):
+            old.leads, old.hint = False, "control-2"
+            new.leads = True
+            reply = control_pb2.ExecuteReply()
+            for one in commands:
+                result = CommandResult(request_id=one.request_id)
+                if one.request_id == "r-2":
+                    result = CommandResult.failed(ResultCode.NOT_LEADER, "x")
+                reply.results.append(command_registry.encode(result))
+            return reply
+
+        old.answer = lose_leadership
+        new.leads, new.hint = False, "control-1"
+        _, first = await serve(self, old)
+        _, second = await serve(self, new)
+        client = self.client({"control-1": first, "control-2": second})
+        work = [client.execute(CancelRequest(f"r-{n}", "a")) for n in (1, 2)]
+        results = await asyncio.gather(*work)
+        self.assertEqual([one.code for one in results], [0, 0])
+        sent = [one.request_id for batch in new.batches for one in batch]
+        self.assertEqual(sent[-1], "r-2")
+
     async def test_abandoned_command_is_not_sent(self):
         """A command whose caller went away before the call is dropped."""
         control = FakeControl()
