Give up calls to a control process that no longer leads

A frozen leader held Execute and Query calls until their time limit of 5 s, also when the session had found the next leader long before. The session now reports the leader it hears, and Replicas ends calls that are under way to any other process. The commands count as uncertain and are sent again, since each is idempotent by its identity or its content; reads are asked again.

The new test freezes a leader with the call limit raised to 200 s, and both calls are answered by the next leader.

--- a/packages/daemon/src/persimmonyard/daemon/entry/leader.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/leader.py
@@ -9,7 +9,11 @@
 
 from persimmonyard.daemon.entry.command_queue import CommandQueue, QueuedCommand
 from persimmonyard.daemon.entry.failure_gate import FailureGate
-from persimmonyard.daemon.entry.replicas import Replicas, never_sent
+from persimmonyard.daemon.entry.replicas import (
+    CallGivenUpError,
+    Replicas,
+    never_sent,
+)
 from persimmonyard.daemon.entry.session_stream import SessionStream
 from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.state.commands import CommandResult, command_registry
@@ -165,9 +169,14 @@
         left = max(one.deadline for one in batch) - time.monotonic()
         leader = self._replicas.leader
         try:
-            reply = await self._replicas.stub(leader).Execute(
-                request, timeout=min(left, CALL_TIMEOUT_S)
+            reply = await self._replicas.unary(
+                leader, "Execute", request, min(left, CALL_TIMEOUT_S)
             )
+        except CallGivenUpError:
+            for item in batch:
+                item.uncertain = True
+            self._queue.put_back(batch)
+            return
         except grpc.aio.AioRpcError as error:
             self._call_failed(batch, leader, uncertain=not never_sent(error))
             return
@@ -238,9 +247,11 @@
                 leader = self._replicas.leader
                 hint = ""
                 try:
-                    reply = await self._replicas.stub(leader).Query(
-                        request, timeout=CALL_TIMEOUT_S
+                    reply = await self._replicas.unary(
+                        leader, "Query", request, CALL_TIMEOUT_S
                     )
+                except CallGivenUpError:
+                    continue
                 except grpc.aio.AioRpcError:
                     reply = None
                 if reply is not None and reply.code != ResultCode.NOT_LEADER:
--- a/packages/daemon/src/persimmonyard/daemon/entry/replicas.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/replicas.py
@@ -1,5 +1,6 @@
 """The control processes, and which of them leads as far as is known."""
 
+import asyncio
 import random
 from typing import Any
 
@@ -7,7 +8,7 @@
 
 from persimmonyard.wire.generated import control_pb2_grpc
 
-__all__ = ["Replicas", "never_sent"]
+__all__ = ["CallGivenUpError", "Replicas", "never_sent"]
 
 CHANNEL_OPTIONS = [
     # A push with the outcomes of many requests may be larger than the
@@ -27,6 +28,10 @@
 _NOT_CONNECTED = "failed to connect to all addresses"
 
 
+class CallGivenUpError(Exception):
+    """Another process leads, so the call was ended; its effect is unknown."""
+
+
 class Replicas:
     """Channels to the control processes by name, and the probable leader."""
 
@@ -36,6 +41,7 @@
         self.leader = random.choice(self._names)
         self._stub_by_name: dict[str, Any] = {}
         self._channels: list[Any] = []
+        self._name_by_call: dict[Any, str] = {}
 
     async def close(self) -> None:
         """Close all channels."""
@@ -52,6 +58,39 @@
             self._stub_by_name[name] = control_pb2_grpc.ControlStub(channel)
         return self._stub_by_name[name]
 
+    async def unary(
+        self, name: str, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Return the reply of one control process.
+
+        Raises ``grpc.aio.AioRpcError`` if the call failed, and
+        ``CallGivenUpError`` if another process was heard as the leader before
+        the reply came.
+        """
+        call = getattr(self.stub(name), method)(request, timeout=timeout_s)
+        self._name_by_call[call] = name
+        try:
+            return await call
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if call in self._name_by_call or (task and task.cancelling()):
+                raise
+            raise CallGivenUpError(name) from None
+        finally:
+            self._name_by_call.pop(call, None)
+
+    def heard_leader(self, name: str) -> None:
+        """Take a process as the leader, and give up calls to all others.
+
+        A frozen process would otherwise hold them until their time is up.
+        """
+        self.leader = name
+        for call, asked in list(self._name_by_call.items()):
+            if asked == name:
+                continue
+            del self._name_by_call[call]
+            call.cancel()
+
     def moved(self, asked: str, hint: str = "") -> None:
         """Follow the hint of the process that was asked, or try the next.
 
--- a/packages/daemon/src/persimmonyard/daemon/entry/session_stream.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/session_stream.py
@@ -89,8 +89,8 @@
 
     def _heard_from(self, leader: str) -> None:
         self._failures = 0
-        self._replicas.leader = leader
         self._gate.succeeded()
+        self._replicas.heard_leader(leader)
 
     async def _beats(self, sent_at_by_sequence: dict[int, float]) -> AsyncIterator[Any]:
         sequence = 0
--- a/test/daemon/test_leader.py
+++ b/test/daemon/test_leader.py
@@ -4,9 +4,11 @@
 import socket
 import time
 import unittest
+import unittest.mock
 
 import grpc
 
+from persimmonyard.daemon.entry import leader as leader_module
 from persimmonyard.daemon.entry.leader import LeaderClient
 from persimmonyard.daemon.entry.local_state import LocalState
 from persimmonyard.daemon.tokens import hash_token
@@ -51,6 +53,13 @@
         self.leads = True
         self.hint = ""
         self.beats = []
+        self.queries = 0
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+
+    def freeze(self):
+        """Take calls and beats, and answer none of them."""
+        self.thawed.clear()
 
     async def accept(self, commands):
         """Execute everything."""
@@ -63,6 +72,7 @@
     async def Execute(self, request, context):  # noqa: N802
         commands = [command_registry.decode(one.command) for one in request.commands]
         self.batches.append(commands)
+        await self.thawed.wait()
         if not self.leads:
             return control_pb2.ExecuteReply(code=601, leader_hint=self.hint)
         self.in_call += 1
@@ -72,6 +82,13 @@
         finally:
             self.in_call -= 1
 
+    async def Query(self, request, context):  # noqa: N802
+        self.queries += 1
+        await self.thawed.wait()
+        if not self.leads:
+            return control_pb2.QueryReply(code=601, leader_hint=self.hint)
+        return control_pb2.QueryReply(body=request.kind.encode())
+
     async def Session(self, request_iterator, context):  # noqa: N802
         if not self.leads:
             yield control_pb2.Envelope(
@@ -81,6 +98,7 @@
         async for envelope in request_iterator:
             beat = session_registry.decode(envelope.body)
             self.beats.append(beat)
+            await self.thawed.wait()
             ended = [outcome(one) for one in beat.watch if one in self.ended]
             reply = LeaderBeat(beat.sequence, 2.0, outcomes=tuple(ended))
             yield control_pb2.Envelope(body=session_registry.encode(reply))
@@ -299,6 +317,46 @@
             found = await waiter.outcome(DEADLINE_S)
         self.assertEqual(found.request_id, "r-1")
 
+    async def test_call_to_a_frozen_leader_is_asked_again_at_the_next(self):
+        """A call ends when the session moves on, not at its own time limit."""
+        frozen, other = FakeControl(), FakeControl()
+        other.leads, other.hint = False, "control-1"
+        _, address = await serve(self, frozen)
+        _, second = await serve(self, other)
+        client = self.client({"control-1": address, "control-2": second})
+        run = asyncio.create_task(client.run())
+        self.addCleanup(run.cancel)
+        await self.until(lambda: frozen.beats)
+        frozen.freeze()
+        with unittest.mock.patch.object(
+            leader_module, "CALL_TIMEOUT_S", 10 * DEADLINE_S
+        ):
+            work = [
+                asyncio.create_task(
+                    client.execute(CancelRequest("r-1", "a"), wait_s=100.0)
+                ),
+                asyncio.create_task(client.query("status", wait_s=100.0)),
+            ]
+            await self.until(lambda: frozen.batches and frozen.queries)
+            other.leads = True
+            async with asyncio.timeout(DEADLINE_S):
+                result, body = await asyncio.gather(*work)
+        self.assertEqual(result.request_id, "r-1")
+        self.assertEqual(body, b"status")
+
+    async def test_cancelled_call_stays_cancelled(self):
+        """The end of the caller is not taken for a change of the leader."""
+        control = FakeControl()
+        control.freeze()
+        _, address = await serve(self, control)
+        client = self.client({"control-1": address})
+        work = asyncio.create_task(client.query("status", wait_s=100.0))
+        await self.until(lambda: control.queries)
+        work.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await work
+        self.assertEqual(control.queries, 1)
+
     async def test_watches_are_sent_once_in_a_session(self):
         """Beats carry only the new watches, not the whole list."""
         control = FakeControl()
