--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,7 @@
 import base64
 import hashlib
 import json
+import statistics
 import sys
 import tempfile
 import time
@@ -29,6 +30,7 @@
 ANNOUNCEMENTS = 2_000
 REQUESTS = 600
 CHANGES = 300
+WAITED_CHANGES = 50
 TASKS_S = 20.0
 CALLERS = 8
 
@@ -130,6 +132,20 @@
 
         _drive(CHANGES, call)
 
+    def in_force_s(self) -> dict[str, float]:
+        """Return how long a change takes until every entry has it."""
+        times = []
+        for number in range(WAITED_CHANGES):
+            began = time.monotonic()
+            spec = {"name": f"waited-{number}"}
+            self._apply([{"work_class": spec}])
+            times.append(time.monotonic() - began)
+        times.sort()
+        return {
+            "p50": round(statistics.median(times), 3),
+            "max": round(times[-1], 3),
+        }
+
     def submit_long_tasks(self) -> int:
         """Fill all slots with tasks that outlast the measurement."""
 
@@ -177,6 +193,7 @@
                 "request": slopes.measure(REQUESTS, slopes.requests),
                 "change": slopes.measure(CHANGES, slopes.changes),
             }
+            result["in_force_s"] = slopes.in_force_s()
             tasks = slopes.submit_long_tasks()
             task_seconds = int(tasks * TASKS_S)
             result["task_second"] = slopes.measure(
