Order work whose target is missed behind work that can meet it

Cause: the job with the earliest last start went first even when its target was already missed. In the Buenos Aires workload late photo matches of one account beyond its guarantee kept the accelerators, and others became late.

Late jobs so keep the order of submission and are not starved.

--- a/packages/scheduler/src/persimmonyard/scheduler/books.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/books.py
@@ -11,8 +11,10 @@
 from persimmonyard.scheduler.probation import Probation
 from persimmonyard.scheduler.queue import GroupKey, WaitingQueue
 from persimmonyard.scheduler.targets import (
+    MISSED_QUANTILE,
     HistoryRunTimes,
     RunTimes,
+    after_missed_target,
     is_urgent,
     latest_start,
 )
@@ -82,6 +84,15 @@
         tier = 0 if is_urgent(spec) else 1
         self.queue.add(job, tier, latest_start(job, spec, self.run_times), now)
 
+    def misses_target(self, job: Job, now: float) -> bool:
+        """Return whether a start now is more likely than not too late."""
+        spec = self.class_by_name.get(job.class_name)
+        return latest_start(job, spec, self.run_times, MISSED_QUANTILE) < now
+
+    def defer(self, job: Job, now: float) -> None:
+        """Put a job behind those that can still meet their target."""
+        self.queue.add(job, 1, after_missed_target(job), now)
+
     def give_up_claim(self, request_id: str, now: float) -> None:
         """Return a claim's capacity; its job is tried again if it waits."""
         claim = self.work.drop_claim(request_id)
--- a/packages/scheduler/src/persimmonyard/scheduler/planner.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/planner.py
@@ -59,6 +59,10 @@
     def __init__(self, books: Books) -> None:
         self._books = books
 
+    def has_home(self, job: Job, now: float) -> bool:
+        """Return whether unused cells of the job's account could hold it."""
+        return _Search(self._books, job, now, frozenset()).has_home()
+
     def plan(
         self,
         job: Job,
@@ -137,6 +141,10 @@
             return None
         return Plan(members, Kind.BORROWER, [], PROBE)
 
+    def has_home(self) -> bool:
+        """Return whether unused cells of the account could hold the job."""
+        return bool(self._home_by_id)
+
     def at_home(self) -> Plan | None:
         """Use unused cells of the job's own account."""
         if not self._home_by_id:
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -17,8 +17,8 @@
 from persimmonyard.scheduler.facts import Facts
 from persimmonyard.scheduler.moves import Moves
 from persimmonyard.scheduler.planner import LAYOUT_PENDING, NO_CAPACITY, Plan, Planner
-from persimmonyard.scheduler.queue import GroupKey
-from persimmonyard.scheduler.targets import RunTimes
+from persimmonyard.scheduler.queue import GroupKey, Urgency
+from persimmonyard.scheduler.targets import RunTimes, after_missed_target
 from persimmonyard.scheduler.vector import member_need, times
 from persimmonyard.scheduler.work import Kind, Task, stoppable
 
@@ -243,12 +243,30 @@
             _, _, urgency, account = heapq.heappop(heads)
             tries += 1
             tries_by_account[account] = tries_by_account.get(account, 0) + 1
-            self._try(urgency.request_id, now, decisions)
+            if self._misses_target(urgency, now):
+                self._books.defer(self._books.queue.job(urgency.request_id), now)
+            else:
+                self._try(urgency.request_id, now, decisions)
             head = self._books.queue.head(account)
             if head is not None:
                 turn = tries_by_account[account] // TRIES_IN_A_ROW
                 heapq.heappush(heads, (head.tier, turn, head, account))
 
+    def _misses_target(self, urgency: Urgency, now: float) -> bool:
+        """Return whether a job gives way to those that can meet their target.
+
+        Urgent work and work that its account's unused cells can hold keep
+        their rank.
+        """
+        if urgency.tier == 0 or urgency.latest_start >= now:
+            return False
+        job = self._books.queue.job(urgency.request_id)
+        if urgency.latest_start >= after_missed_target(job):
+            return False
+        if not self._books.misses_target(job, now):
+            return False
+        return not self._planner.has_home(job, now)
+
     def _try(self, request_id: str, now: float, decisions: list[Decision]) -> None:
         books = self._books
         job = books.queue.job(request_id)
--- a/packages/scheduler/src/persimmonyard/scheduler/targets.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/targets.py
@@ -7,9 +7,11 @@
 from persimmonyard.scheduler.prediction import RunTimePredictor
 
 __all__ = [
+    "MISSED_QUANTILE",
     "DeclaredRunTimes",
     "HistoryRunTimes",
     "RunTimes",
+    "after_missed_target",
     "is_urgent",
     "latest_start",
 ]
@@ -23,6 +25,10 @@
 DEFAULT_WITHIN_S = 86_400.0
 
 ORDER_QUANTILE = 0.9
+
+# A target counts as missed when a start now is more likely than not too late.
+# With the quantile of the order, gangs that could still end in time gave way.
+MISSED_QUANTILE = 0.5
 DAY_S = 86_400
 
 
@@ -63,9 +69,17 @@
     return spec.within_s is not None and spec.within_s <= URGENT_WITHIN_S
 
 
-def latest_start(job: Job, spec: ClassSpec | None, run_times: RunTimes) -> float:
-    """Return the last time at which a start still meets the target."""
-    run_s = run_times.predict(job, ORDER_QUANTILE)
+def latest_start(
+    job: Job,
+    spec: ClassSpec | None,
+    run_times: RunTimes,
+    quantile: float = ORDER_QUANTILE,
+) -> float:
+    """Return the last time at which a start still meets the target.
+
+    ``quantile`` is the probability that the assumed run time is kept.
+    """
+    run_s = run_times.predict(job, quantile)
     latest = job.submitted_at + DEFAULT_WITHIN_S - run_s
     if spec is None:
         return latest
@@ -80,6 +94,15 @@
     return latest
 
 
+def after_missed_target(job: Job) -> float:
+    """Return the latest start that orders a job whose target is missed.
+
+    It is that of work without a target, so such jobs keep the order of their
+    submission and are not put off for ever.
+    """
+    return job.submitted_at + DEFAULT_WITHIN_S
+
+
 def _next_time_of_day(time_of_day: str, after: float) -> float | None:
     """Return the next ``HH:MM`` UTC after a time in seconds.
 
--- a/test/scheduler/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -280,6 +280,54 @@
             self.world.end(next(iter(self.world.running)))
         self.assertEqual(self.placed(), ["long", "soon", "later"])
 
+    def run_singly(self, count):
+        """Run that many jobs one after the other."""
+        for _ in range(count):
+            self.world.decide()
+            self.world.end(next(iter(self.world.running)))
+
+    def test_missed_target_gives_way_to_one_that_can_be_met(self):
+        """Late work does not make other work late; it keeps its own order."""
+        self.add(1)
+        self.submit("late-2", "a", 1, 4, class_name="soon", submitted_at=-4_000.0)
+        self.submit("late-1", "a", 1, 4, class_name="soon", submitted_at=-5_000.0)
+        self.submit("later", "b", 1, 4, class_name="later")
+        self.run_singly(3)
+        self.assertEqual(self.placed(), ["later", "late-1", "late-2"])
+
+    def test_target_that_is_probably_met_keeps_its_rank(self):
+        """A long run time that is unlikely does not count as a miss."""
+
+        class WideRunTimes:
+            def predict(self, job, quantile):
+                return 2_000.0 if quantile > 0.5 else 10.0
+
+        self.world = World(WideRunTimes())
+        spec = ClassSpec("soon", within_s=1_000.0)
+        self.world.tell(ClassChanged(spec.name, spec))
+        self.add(1)
+        self.submit("other", "b", 1, 4)
+        self.submit("tight", "a", 1, 4, class_name="soon")
+        self.run_singly(2)
+        self.assertEqual(self.placed(), ["tight", "other"])
+
+    def test_missed_target_inside_the_guarantee_keeps_its_rank(self):
+        """An account gets its guarantee for late work too."""
+        self.add(1)
+        self.world.set_account("a", WHOLE)
+        self.submit("late", "a", 1, 4, class_name="soon", submitted_at=-5_000.0)
+        self.submit("later", "b", 1, 4, class_name="later")
+        self.run_singly(2)
+        self.assertEqual(self.placed(), ["late", "later"])
+
+    def test_missed_target_is_not_put_off_for_ever(self):
+        """After a day of waiting, late work goes before newer work."""
+        self.add(1)
+        self.submit("late", "a", 1, 4, class_name="soon", submitted_at=-90_000.0)
+        self.submit("later", "b", 1, 4, class_name="later")
+        self.run_singly(2)
+        self.assertEqual(self.placed(), ["late", "later"])
+
     def test_burst_of_one_account_leaves_another_its_turn(self):
         """A burst of earlier jobs does not use up a call for others."""
         self.add(30)
