Measure the memory of the state with the other benchmarks

bench/state_memory.py only printed its figures and was not listed.

bench/replication.py imported free_port, which no longer exists, and failed at once. It now holds reserved ports.

--- a/bench/replication.py
+++ b/bench/replication.py
@@ -38,7 +38,7 @@
     Write,
 )
 from persimmonyard.replication.messages import Entry, EntryKind, SnapshotMeta
-from persimmonyard.standin.deployment import Deployment, free_port
+from persimmonyard.standin.deployment import Deployment, reserve_port
 from persimmonyard.state import StateMachine
 from persimmonyard.state.commands import (
     ApplyConfiguration,
@@ -154,7 +154,10 @@
     def __init__(self, folder: Path, delay_s: float, load: bool):
         self._folder = folder
         self._options = ["--delay", str(delay_s)] + (["--load"] if load else [])
-        self._addresses = {name: f"127.0.0.1:{free_port()}" for name in NAMES}
+        self._holders = [reserve_port() for _ in NAMES]
+        self._addresses = {}
+        for name, holder in zip(NAMES, self._holders, strict=True):
+            self._addresses[name] = f"127.0.0.1:{holder.getsockname()[1]}"
         self._process_by_name: dict[str, subprocess.Popen] = {}
         for name in NAMES:
             initialize(folder / name, name, self._addresses)
@@ -179,6 +182,8 @@
         """Kill all replicas."""
         for name in list(self._process_by_name):
             self.kill(name)
+        for holder in self._holders:
+            holder.close()
 
     def wait_for(self, key: str, besides: str = "") -> tuple[str, dict[str, Any]]:
         """Return the first replica that printed ``key``, and its line."""
--- a/bench/run.py
+++ b/bench/run.py
@@ -15,6 +15,7 @@
     "scheduler": "bench.scheduler",
     "decision_cost": "bench.decision_cost",
     "replication": "bench.replication",
+    "state_memory": "bench.state_memory",
     "latency": "bench.requests",
     "overload": "bench.requests",
     "idle": "bench.idle",
--- a/bench/state_memory.py
+++ b/bench/state_memory.py
@@ -4,7 +4,11 @@
 requests, 5,400 upstreams and 15,000 requests kept after their end.
 """
 
+import json
+import time
 import tracemalloc
+from collections.abc import Callable
+from typing import Any
 
 from persimmonyard.model import (
     ClassSpec,
@@ -38,9 +42,14 @@
     def __init__(self) -> None:
         self.machine = StateMachine()
         self._time = 0.0
+        self._results: dict[str, float] = {}
 
-    def run(self) -> None:
-        """Print bytes per record and the total."""
+    def run(self) -> dict[str, float]:
+        """Return bytes per record, totals in MiB and the time of a snapshot.
+
+        The time is taken before memory is traced again, since tracing slows
+        the encoder down.
+        """
         account = ClientAccountSpec("clinic", max_waiting=RUNNING + ENDED)
         self._apply(
             ApplyConfiguration(
@@ -52,25 +61,34 @@
         )
         tracemalloc.start()
         self._step("upstream", UPSTREAMS, self._register)
-        self._step("running request", RUNNING, self._start)
-        self._step("ended request", ENDED, self._finish)
+        self._step("running_request", RUNNING, self._start)
+        self._step("ended_request", ENDED, self._finish)
         total = tracemalloc.get_traced_memory()[0]
-        print(f"total {total / 2**20:.1f} MB")
+        self._results["total_mib"] = _mib(total)
+        tracemalloc.stop()
+        started = time.monotonic()
         data = self.machine.snapshot()
-        print(f"snapshot {len(data) / 2**20:.1f} MB")
-        before = tracemalloc.get_traced_memory()[0]
+        self._results["snapshot_s"] = round(time.monotonic() - started, 3)
+        self._results["snapshot_mib"] = _mib(len(data))
+        self._measure_restored(data)
+        return self._results
+
+    def _measure_restored(self, data: bytes) -> None:
+        tracemalloc.start()
         restored = StateMachine()
         restored.restore(data)
-        after = tracemalloc.get_traced_memory()[0]
-        print(f"restored {(after - before) / 2**20:.1f} MB")
+        kept, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        self._results["restored_mib"] = _mib(kept)
+        self._results["restore_peak_mib"] = _mib(peak)
 
-    def _step(self, name: str, count: int, add) -> None:
+    def _step(self, name: str, count: int, add: Callable[[int], object]) -> None:
         before = tracemalloc.get_traced_memory()[0]
         for number in range(count):
             add(number)
         self.machine.drain_changes()
         grown = tracemalloc.get_traced_memory()[0] - before
-        print(f"{name}: {grown / count:.0f} bytes each, {grown / 2**20:.1f} MB")
+        self._results[f"{name}_bytes"] = round(grown / count)
 
     def _apply(self, command: object) -> None:
         """Apply a command as a replica does: decoded from the log."""
@@ -117,5 +135,14 @@
         return fence
 
 
+def _mib(size: int) -> float:
+    return round(size / 2**20, 1)
+
+
+def run() -> dict[str, Any]:
+    """Return all measurements."""
+    return Measurement().run()
+
+
 if __name__ == "__main__":
-    Measurement().run()
+    print(json.dumps(run(), indent=2))
