Restore the state in parts that share their strings at once

A restore decoded all requests in one call. All repeated strings existed many times until they were shared, and the memory of the copies stayed with the process in fragments.

--- a/packages/state/src/persimmonyard/state/machine.py
+++ b/packages/state/src/persimmonyard/state/machine.py
@@ -3,8 +3,6 @@
 import hashlib
 from typing import Any
 
-import msgspec
-
 from persimmonyard.model import ConfigurationChange, ResultCode
 from persimmonyard.state import attempt_commands, request_commands, upstream_commands
 from persimmonyard.state.changes import Change, ChangeKind
@@ -29,7 +27,12 @@
 )
 from persimmonyard.state.configuration import Configuration
 from persimmonyard.state.records import RequestRecord, UpstreamRecord
-from persimmonyard.state.store import Contents, KnownResult, Store
+from persimmonyard.state.snapshots import (
+    decode_contents,
+    decode_requests,
+    encode_contents,
+)
+from persimmonyard.state.store import KnownResult, Store
 
 __all__ = ["Change", "ChangeKind", "StateMachine"]
 
@@ -100,11 +103,11 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state as bytes."""
-        return msgspec.msgpack.encode(self._store.contents)
+        return encode_contents(self._store.contents)
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by that of a snapshot."""
-        self._store.load(msgspec.msgpack.decode(data, type=Contents))
+        self._store.load(decode_contents(data), decode_requests(data))
 
     # Applying.
 
--- a/packages/state/src/persimmonyard/state/store.py
+++ b/packages/state/src/persimmonyard/state/store.py
@@ -2,6 +2,7 @@
 
 import itertools
 import sys
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from persimmonyard.model import ConfigurationChange, Shape
@@ -58,8 +59,12 @@
         self.recent_changes: dict[int, tuple[ConfigurationChange, ...]] = {}
         self.load(Contents())
 
-    def load(self, contents: Contents) -> None:
-        """Replace the contents and build all indexes anew."""
+    def load(self, contents: Contents, records: Iterable[RequestRecord] = ()) -> None:
+        """Replace the contents, add requests and build all indexes anew.
+
+        Each request shares its values before the next one is taken, so that
+        requests may be decoded while they are added.
+        """
         self.contents = contents
         self.recent_changes = {}
         self.changes: list[Change] = []
@@ -70,8 +75,8 @@
         self.live_count_by_account: dict[str, int] = {}
         self._shape_by_shape: dict[Shape, Shape] = {}
         self._member_by_upstream: dict[str, Member] = {}
-        self._share_keys()
-        for record in contents.request_by_id.values():
+        for record in records:
+            contents.request_by_id[record.request_id] = record
             self.share_values(record)
             self.index_key(record)
             if record.ended():
@@ -80,6 +85,7 @@
             attempt = record.live_attempt()
             if attempt is not None:
                 self.occupy(record, attempt)
+        self._share_keys()
 
     def _share_keys(self) -> None:
         """Let the dictionaries use the strings of their records as keys."""
@@ -88,13 +94,10 @@
         for known in contents.upstream_by_id.values():
             by_id[known.spec.upstream_id] = known
         contents.upstream_by_id = by_id
-        request_by_id = {}
-        for record in contents.request_by_id.values():
-            request_by_id[record.request_id] = record
-        contents.request_by_id = request_by_id
         ended_at_by_id = {}
         for request_id, at in contents.ended_at_by_id.items():
-            ended_at_by_id[request_by_id[request_id].request_id] = at
+            record = contents.request_by_id[request_id]
+            ended_at_by_id[record.request_id] = at
         contents.ended_at_by_id = ended_at_by_id
 
     def index_key(self, record: RequestRecord) -> None:
--- a/test/state/test_machine.py
+++ b/test/state/test_machine.py
@@ -1,6 +1,7 @@
 """Tests of persimmonyard.state.machine."""
 
 import unittest
+from unittest import mock
 
 from persimmonyard.model import (
     ClassSpec,
@@ -11,7 +12,7 @@
     UpstreamSpec,
     ZoneSpec,
 )
-from persimmonyard.state import StateMachine
+from persimmonyard.state import StateMachine, snapshots
 from persimmonyard.state.commands import (
     ApplyConfiguration,
     CancelRequest,
@@ -21,6 +22,7 @@
     StartAttempt,
     SubmitRequest,
 )
+from test.state.fixtures import MachineFixture
 
 UPSTREAM = UpstreamSpec("up-1", "a", "z1", "rack-1", "127.0.0.1:1", 8, 64, 1_000)
 
@@ -90,3 +92,25 @@
         other.restore(self.machine.snapshot())
         self.assertEqual(other.snapshot(), self.machine.snapshot())
         self.assertEqual(other.request_ids_on("up-1"), {"r-1"})
+
+    def test_requests_of_all_parts_are_restored_in_order(self):
+        """No request is lost or reordered between the parts of a snapshot.
+
+        Attempts on one upstream share one member, or memory grows with a
+        restart.
+        """
+        fixture = MachineFixture(upstreams=1)
+        ids = [f"r-{number}" for number in range(5)]
+        for request_id in ids:
+            fixture.submit(request_id)
+            fixture.run(PlaceAttempt(request_id, 1, ("up-0",), "e"))
+        fixture.run(CancelRequest("r-3", "clinic"))
+        other = StateMachine()
+        with mock.patch.object(snapshots, "REQUESTS_PER_PART", 2):
+            data = fixture.machine.snapshot()
+        other.restore(data)
+        self.assertEqual(list(other.request_by_id), ids)
+        self.assertEqual(other.request_by_id, fixture.machine.request_by_id)
+        members = {id(other.request_by_id[name].attempts[0].members[0]) for name in ids}
+        self.assertEqual(len(members), 1)
+        self.assertEqual(other.snapshot(), fixture.machine.snapshot())
