Exempt the restored state from garbage collection

A full collection of a restored state of 47,000 tasks took 0.134 to 0.140 s in a bare process and stops the event loop meanwhile. It frees nothing, because records form no cycles. The control process freezes what exists after the restore; a full collection right after that took less than 0.1 ms.

--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -1,6 +1,7 @@
 """One control process: replica, controllers, gRPC service, HTTP port."""
 
 import asyncio
+import gc
 import random
 from pathlib import Path
 from typing import Any
@@ -86,6 +87,9 @@
             self._logger.error("the data folder is damaged", error=str(error))
             self._fail(LOG_DAMAGED)
             return
+        # A full collection of a restored state of 47,000 tasks stops the
+        # event loop for 0.14 s and frees nothing, as records form no cycles.
+        gc.freeze()
         await self._server.start()
         self._http = HttpServer(
             self._build_app(),
