--- a/packages/replication/src/persimmonyard/replication/snapshot_file.py
+++ b/packages/replication/src/persimmonyard/replication/snapshot_file.py
@@ -50,7 +50,7 @@
         """
         if not self._path.exists():
             return None
-        loaded = _parse(self._path.read_bytes())
+        loaded = _read(self._path)
         if loaded is None:
             raise LogDamagedError("snapshot: bad checksum")
         self._index = loaded[0].index
@@ -87,7 +87,7 @@
                 os.fsync(file.fileno())
         if not chunk.done:
             return None
-        loaded = _parse(self._part.read_bytes())
+        loaded = _read(self._part)
         if loaded is None or loaded[0] != chunk.meta:
             return SnapshotMeta()
         with self._lock:
@@ -104,14 +104,21 @@
     return _HEADER.pack(_MAGIC, len(label), len(data), checksum) + label
 
 
-def _parse(content: bytes) -> tuple[SnapshotMeta, bytes] | None:
-    if len(content) < _HEADER.size:
-        return None
-    magic, label_size, size, checksum = _HEADER.unpack(content[: _HEADER.size])
-    body = memoryview(content)[_HEADER.size :]
-    if magic != _MAGIC or len(body) != label_size + size:
-        return None
-    if zlib.crc32(body) != checksum:
+def _read(path: Path) -> tuple[SnapshotMeta, bytes] | None:
+    """Return what a file holds, or None if it is bad.
+
+    The data is read by itself, so that it is in memory only once.
+    """
+    with open(path, "rb") as file:
+        header = file.read(_HEADER.size)
+        if len(header) < _HEADER.size:
+            return None
+        magic, label_size, size, checksum = _HEADER.unpack(header)
+        file_size = os.fstat(file.fileno()).st_size
+        if magic != _MAGIC or file_size != _HEADER.size + label_size + size:
+            return None
+        label = file.read(label_size)
+        data = file.read(size)
+    if zlib.crc32(data, zlib.crc32(label)) != checksum:
         return None
-    meta = msgspec.msgpack.decode(body[:label_size], type=SnapshotMeta)
-    return meta, bytes(body[label_size:])
+    return msgspec.msgpack.decode(label, type=SnapshotMeta), data
--- a/test/replication/test_storage.py
+++ b/test/replication/test_storage.py
@@ -138,6 +138,23 @@
         with self.assertRaises(LogDamagedError):
             self.open()
 
+    def test_damage_before_the_data_is_found(self):
+        """A changed byte in any field of the header, or a cut, is noticed."""
+        disk, _ = self.open()
+        disk.save_snapshot(self.META, b"state")
+        disk.close()
+        path = self.folder / "snapshot"
+        content = path.read_bytes()
+        for position in range(len(content)):
+            changed = bytearray(content)
+            changed[position] ^= 1
+            path.write_bytes(changed)
+            with self.subTest(changed=position), self.assertRaises(LogDamagedError):
+                self.open()
+            path.write_bytes(content[:position])
+            with self.subTest(size=position), self.assertRaises(LogDamagedError):
+                self.open()
+
     def test_lost_snapshot_is_damage(self):
         """A truncated log without its snapshot is not an empty state."""
         self.written([BaseRecord(3, 1), *entries(4, 1)])
