--- a/packages/replication/src/persimmonyard/replication/config.py
+++ b/packages/replication/src/persimmonyard/replication/config.py
@@ -14,7 +14,9 @@
 
     ``lease_s`` is shorter than ``election_min_s`` even if the clock rates of
     two replicas differ by 10%.  ``peers`` are asked for recovery when the
-    members are not known.
+    members are not known.  A compacted log keeps at most
+    ``trailing_entries`` entries of at most ``trailing_bytes`` in total before
+    the snapshot's index, for followers that are behind.
     """
 
     replica_id: str
@@ -28,6 +30,7 @@
     batch_bytes: int = 1 << 20
     window: int = 4
     trailing_entries: int = 1_000
+    trailing_bytes: int = 4 << 20
     seed: int = 0
 
 
--- a/packages/replication/src/persimmonyard/replication/core.py
+++ b/packages/replication/src/persimmonyard/replication/core.py
@@ -290,7 +290,10 @@
         if meta.index <= self.snapshot.index:
             return
         self.snapshot = meta
-        base = max(self.log.base_index, meta.index - self.config.trailing_entries)
+        config = self.config
+        base = self.log.base_before(
+            meta.index, config.trailing_entries, config.trailing_bytes
+        )
         self.log.compact(base, meta)
         self.rewrite_log()
 
--- a/packages/replication/src/persimmonyard/replication/memory_log.py
+++ b/packages/replication/src/persimmonyard/replication/memory_log.py
@@ -94,6 +94,17 @@
             found.append(entry)
         return found
 
+    def base_before(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Return the base that keeps so much of the log up to ``index``."""
+        size = 0
+        base = index
+        while base > max(self.base_index, index - max_entries):
+            size += len(self.entry(base).data)
+            if size > max_bytes:
+                break
+            base -= 1
+        return base
+
     def compact(self, base_index: int, meta: SnapshotMeta) -> None:
         """Drop entries up to ``base_index``, which the snapshot includes."""
         term = self.term_at(base_index)
