Share equal times within a restored record

Decoding creates a float of 32 bytes for each time, and a record repeats most of its times in its history. A restored record now holds each time once, and requests with the same run time in a row share it.

--- a/packages/state/src/persimmonyard/state/store.py
+++ b/packages/state/src/persimmonyard/state/store.py
@@ -19,6 +19,7 @@
     UpstreamStatus,
 )
 from persimmonyard.state.requests import finish_attempt, move
+from persimmonyard.state.sharing import share_times
 
 __all__ = ["Contents", "KnownResult", "Store"]
 
@@ -75,6 +76,7 @@
         self.live_count_by_account: dict[str, int] = {}
         self._shape_by_shape: dict[Shape, Shape] = {}
         self._member_by_upstream: dict[str, Member] = {}
+        self._last_run_s = 0.0
         for record in records:
             contents.request_by_id[record.request_id] = record
             self.share_values(record)
@@ -131,6 +133,11 @@
             for member in attempt.members:
                 shared.append(self.member_on(member.upstream_id, member.incarnation))
             attempt.members = tuple(shared)
+        share_times(record)
+        # Requests of one class often declare the same run time.
+        if record.declared_run_s == self._last_run_s:
+            record.declared_run_s = self._last_run_s
+        self._last_run_s = record.declared_run_s
 
     # Looking up.
 
--- a/test/state/test_machine.py
+++ b/test/state/test_machine.py
@@ -114,3 +114,18 @@
         members = {id(other.request_by_id[name].attempts[0].members[0]) for name in ids}
         self.assertEqual(len(members), 1)
         self.assertEqual(other.snapshot(), fixture.machine.snapshot())
+
+    def test_restored_times_share_memory(self):
+        """A record with repeated times does not grow with a restart."""
+        fixture = MachineFixture(upstreams=1)
+        fixture.submit("r-1")
+        placed = fixture.run(PlaceAttempt("r-1", 1, ("up-0",), "e"))
+        fixture.run(StartAttempt("r-1", 1, placed.fence))
+        other = StateMachine()
+        other.restore(fixture.machine.snapshot())
+        record = other.request_by_id["r-1"]
+        attempt = record.attempts[0]
+        times = (record.submitted_at, attempt.placed_at, attempt.started_at)
+        for time, entry in zip(times, record.history, strict=True):
+            self.assertIs(time, entry.at)
+        self.assertEqual(record, fixture.machine.request_by_id["r-1"])
