Keep watches out of a session that has ended

When the leader closes a session, grpcio goes on reading the entry's stream of beats until the next one. A stream of beats now ends when the next one begins.

The new test passes in 0.3 s. With `while True` in _beats it fails after its deadline of 20 s.

--- a/packages/daemon/src/persimmonyard/daemon/entry/session_stream.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/session_stream.py
@@ -46,6 +46,7 @@
         self._on_beat = on_beat
         self._beat_now = asyncio.Event()
         self._failures = 0
+        self._sessions_begun = 0
         self._logger = get_logger("leader")
 
     def beat_soon(self) -> None:
@@ -93,8 +94,12 @@
         self._replicas.heard_leader(leader)
 
     async def _beats(self, sent_at_by_sequence: dict[int, float]) -> AsyncIterator[Any]:
+        self._sessions_begun += 1
+        number = self._sessions_begun
         sequence = 0
-        while True:
+        # grpcio goes on reading beats of a stream that the server has ended,
+        # and would lose the watches and heartbeats in them.
+        while number == self._sessions_begun:
             sequence += 1
             self._beat_now.clear()
             beat = self._make_beat(sequence)
--- a/test/daemon/test_leader.py
+++ b/test/daemon/test_leader.py
@@ -54,6 +54,8 @@
         self.hint = ""
         self.beats = []
         self.queries = 0
+        self.sessions = 0
+        self.end_first = False
         self.thawed = asyncio.Event()
         self.thawed.set()
 
@@ -95,6 +97,7 @@
                 body=session_registry.encode(NotLeader(self.hint))
             )
             return
+        self.sessions += 1
         async for envelope in request_iterator:
             beat = session_registry.decode(envelope.body)
             self.beats.append(beat)
@@ -102,6 +105,8 @@
             ended = [outcome(one) for one in beat.watch if one in self.ended]
             reply = LeaderBeat(beat.sequence, 2.0, outcomes=tuple(ended))
             yield control_pb2.Envelope(body=session_registry.encode(reply))
+            if self.sessions == 1 and self.end_first:
+                return
 
 
 async def serve(case, control):
@@ -357,6 +362,21 @@
             await work
         self.assertEqual(control.queries, 1)
 
+    async def test_ended_session_takes_no_watch(self):
+        """A watch is not lost in the stream that the leader has closed."""
+        control = FakeControl()
+        control.end_first = True
+        _, address = await serve(self, control)
+        client = self.client({"control-1": address})
+        run = asyncio.create_task(client.run())
+        self.addCleanup(run.cancel)
+        await self.until(lambda: control.sessions == 2 and len(control.beats) >= 2)
+        control.ended.add("r-1")
+        with self.state.waiters.add("r-1") as waiter:
+            client.beat_soon()
+            found = await waiter.outcome(DEADLINE_S)
+        self.assertIsNotNone(found)
+
     async def test_watches_are_sent_once_in_a_session(self):
         """Beats carry only the new watches, not the whole list."""
         control = FakeControl()
