--- a/packages/standin/src/persimmonyard/standin/demo.py
+++ b/packages/standin/src/persimmonyard/standin/demo.py
@@ -15,8 +15,6 @@
 
 __all__ = ["main"]
 
-# Several control processes keep separate logs as long as the replicated log
-# is not part of the daemon.
 CONTROLS = 3
 ENTRIES = 2
 CLIENT_TOKEN = "clinic-token-for-loopback"
