--- a/packages/daemon/src/persimmonyard/daemon/control/entry_session.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/entry_session.py
@@ -22,7 +22,8 @@
     """The lease, the outbox and the knowledge of one entry process.
 
     ``expires_at`` is on the leader's monotonic clock.  ``sent_by_request``
-    holds the fence and the attempt state that were last sent for a request.
+    holds the fence, and the attempt state with the lost members, that were
+    last sent for a request.
     """
 
     entry_id: str
--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -1,22 +1,23 @@
 """One control process: replica, controllers, gRPC service, HTTP port."""
 
 import asyncio
+import gc
 import random
 from pathlib import Path
-from typing import Any
 
 import grpc
-from litestar import Litestar, get
+from litestar import Litestar
 
 from persimmonyard.daemon.control.assignments import AssignmentController
+from persimmonyard.daemon.control.inspection import Inspected, build_inspection_app
 from persimmonyard.daemon.control.ledger import Ledger
+from persimmonyard.daemon.control.operators import OperatorCheck
 from persimmonyard.daemon.control.retention import RetentionController
 from persimmonyard.daemon.control.scheduling import SchedulingController
 from persimmonyard.daemon.control.service import ControlService
 from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.control.upstreams import UpstreamController
-from persimmonyard.daemon.control.views import status
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.settings import Settings
@@ -31,7 +32,7 @@
 
 __all__ = ["ControlProcess"]
 
-LEADERSHIP_CHECK_S = 0.05
+LEADERSHIP_CHECK_S = 0.1
 
 
 class ControlProcess:
@@ -84,6 +85,9 @@
             self._logger.error("the data folder is damaged", error=str(error))
             self._fail(LOG_DAMAGED)
             return
+        # A full collection of a restored state of 47,000 tasks stops the
+        # event loop for 0.14 s and frees nothing, as records form no cycles.
+        gc.freeze()
         await self._server.start()
         self._http = HttpServer(
             self._build_app(),
@@ -133,22 +137,14 @@
             await asyncio.sleep(LEADERSHIP_CHECK_S)
 
     def _build_app(self) -> Litestar:
-        ledger = self._ledger
-
-        @get("/dump")
-        async def dump() -> dict[str, Any]:
-            return {
-                "process": self._settings.process.name,
-                "leading": ledger.leads(),
-                "replica": self._replica.status()._asdict(),
-                "state": status(ledger.machine),
-                "sessions": self._sessions.state(),
-                "attempts_by_entry": self._assignments.state(),
-                "heartbeats": self._upstreams.state(),
-            }
-
-        @get("/health")
-        async def health() -> dict[str, bool]:
-            return {"leading": ledger.leads()}
-
-        return Litestar([dump, health])
+        parts = Inspected(
+            self._settings.process.name,
+            self._ledger,
+            self._replica,
+            self._sessions,
+            self._assignments,
+            self._scheduling,
+            self._upstreams,
+        )
+        hashes = self._settings.access.operator_token_hashes
+        return build_inspection_app(parts, OperatorCheck(hashes))
--- a/packages/daemon/src/persimmonyard/daemon/control/service.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/service.py
@@ -92,6 +92,7 @@
     async def _apply_configuration(
         self, command: ApplyConfiguration, identity: str
     ) -> CommandResult:
+        await self._scheduling.loaded.wait()
         async with self._guarantee_lock:
             if self._ledger.machine.known_result(identity) is None:
                 self._check_guarantees(command)
@@ -137,7 +138,10 @@
             case "configuration":
                 return msgspec.json.encode(machine.configuration)
             case "status":
-                return msgspec.json.encode(status(machine))
+                at_risk = self._scheduling.guarantees_at_risk()
+                return msgspec.json.encode(
+                    status(machine) | {"guarantees_at_risk": at_risk}
+                )
             case "in_force":
                 version, _, wait_s = item_id.partition("/")
                 done = await self._sessions.wait_in_force(int(version), float(wait_s))
--- a/packages/daemon/src/persimmonyard/daemon/control/upstreams.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/upstreams.py
@@ -53,8 +53,8 @@
         for change in changes:
             if change.kind != ChangeKind.UPSTREAM:
                 continue
-            known = self._ledger.machine.upstream_by_id[change.item_id]
-            if known.status == UpstreamStatus.LOST:
+            known = self._ledger.machine.upstream_by_id.get(change.item_id)
+            if known is None or known.status == UpstreamStatus.LOST:
                 continue
             if change.item_id not in self._heard_at_by_id:
                 self._expect(change.item_id, self._ledger.clock())
@@ -113,8 +113,8 @@
                 self._expect(upstream_id, heard_at)
                 continue
             del self._heard_at_by_id[upstream_id]
-            known = self._ledger.machine.upstream_by_id[upstream_id]
-            if known.status != UpstreamStatus.LOST:
+            known = self._ledger.machine.upstream_by_id.get(upstream_id)
+            if known is not None and known.status != UpstreamStatus.LOST:
                 late.append(known)
         return late
 
--- a/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/scheduler.py
@@ -17,8 +17,8 @@
 from persimmonyard.scheduler.facts import Facts
 from persimmonyard.scheduler.moves import Moves
 from persimmonyard.scheduler.planner import LAYOUT_PENDING, NO_CAPACITY, Plan, Planner
-from persimmonyard.scheduler.queue import GroupKey
-from persimmonyard.scheduler.targets import RunTimes
+from persimmonyard.scheduler.queue import GroupKey, Urgency
+from persimmonyard.scheduler.targets import RunTimes, after_missed_target
 from persimmonyard.scheduler.vector import member_need, times
 from persimmonyard.scheduler.work import Kind, Task, stoppable
 
@@ -31,6 +31,7 @@
 MAX_FAILED_SEARCHES = 4
 MAX_BLOCKS_LAID = 16
 MAX_GROUPS_COMPARED = 128
+MAX_MEMBERS = 128
 
 # Jobs of one account that are tried in a row before another account's turn.
 TRIES_IN_A_ROW = 4
@@ -59,6 +60,7 @@
         self._decided_at = 0.0
         self._warmed_at = 0.0
         self._failed_searches = 0
+        self._members_handled = 0
         self._ready_claims: list[str] = []
 
     def observe(self, event: Event, now: float) -> None:
@@ -88,7 +90,7 @@
         books = self._books
         if books.queue.any_ready() or books.layout.pending or books.ended:
             return self._decided_at
-        news = books.freed.has_news() or books.queue.comparing()
+        news = books.freed.has_news() or books.queue.comparing() or bool(books.holders)
         if news and len(books.queue):
             return self._decided_at
         times_due = []
@@ -232,18 +234,39 @@
         tries_by_account: dict[str, int] = {}
         tries = 0
         self._failed_searches = 0
+        self._members_handled = 0
         while heads and tries < MAX_TRIES and len(decisions) < MAX_DECISIONS:
             if self._failed_searches >= MAX_FAILED_SEARCHES:
                 break
+            if self._members_handled >= MAX_MEMBERS:
+                break
             _, _, urgency, account = heapq.heappop(heads)
             tries += 1
             tries_by_account[account] = tries_by_account.get(account, 0) + 1
-            self._try(urgency.request_id, now, decisions)
+            if self._misses_target(urgency, now):
+                self._books.defer(self._books.queue.job(urgency.request_id), now)
+            else:
+                self._try(urgency.request_id, now, decisions)
             head = self._books.queue.head(account)
             if head is not None:
                 turn = tries_by_account[account] // TRIES_IN_A_ROW
                 heapq.heappush(heads, (head.tier, turn, head, account))
 
+    def _misses_target(self, urgency: Urgency, now: float) -> bool:
+        """Return whether a job gives way to those that can meet their target.
+
+        Urgent work and work that its account's unused cells can hold keep
+        their rank.
+        """
+        if urgency.tier == 0 or urgency.latest_start >= now:
+            return False
+        job = self._books.queue.job(urgency.request_id)
+        if urgency.latest_start >= after_missed_target(job):
+            return False
+        if not self._books.misses_target(job, now):
+            return False
+        return not self._planner.has_home(job, now)
+
     def _try(self, request_id: str, now: float, decisions: list[Decision]) -> None:
         books = self._books
         job = books.queue.job(request_id)
@@ -276,6 +299,7 @@
         self, job: Job, plan: Plan, now: float, decisions: list[Decision]
     ) -> None:
         books = self._books
+        self._members_handled += job.shape.gang + len(plan.victims)
         group = books.queue.group(job.request_id)
         books.queue.remove(job.request_id)
         for node_id in books.holds.drop(job.request_id):
--- a/packages/standin/src/persimmonyard/standin/deployment.py
+++ b/packages/standin/src/persimmonyard/standin/deployment.py
@@ -58,10 +58,10 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         control_names = [f"control-{n + 1}" for n in range(self.controls)]
         for name in control_names:
-            self.grpc_port_by_name[name] = self._reserve_port()
+            self.grpc_port_by_name[name] = self.reserve_port()
         entry_names = [f"entry-{n + 1}" for n in range(self.entries)]
         for name in [*control_names, *entry_names]:
-            self.http_port_by_name[name] = self._reserve_port()
+            self.http_port_by_name[name] = self.reserve_port()
             self._write_settings(name)
         self._initialize(control_names)
         for name in [*control_names, *entry_names]:
@@ -69,7 +69,8 @@
         for name in entry_names:
             self.wait_ready(name)
 
-    def _reserve_port(self) -> int:
+    def reserve_port(self) -> int:
+        """Return a loopback port that stays free until ``stop``."""
         holder = reserve_port()
         self.port_holders.append(holder)
         port: int = holder.getsockname()[1]
--- a/packages/standin/src/persimmonyard/standin/upstream.py
+++ b/packages/standin/src/persimmonyard/standin/upstream.py
@@ -190,7 +190,7 @@
             self._set_behaviour(await request.json())
             return Response({})
 
-        return Litestar([task_call, starts, faults])
+        return Litestar([task_call, starts, faults], logging_config=None)
 
 
 async def _serve(settings: StandinSettings) -> None:
--- a/test/scheduler/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -84,6 +84,23 @@
         self.world.decide()
         self.assertTrue({"one", "two"} <= set(self.world.running))
 
+    def test_owner_is_tried_again_when_its_cells_are_unused(self):
+        """Cells that become unused wake the owner although others use them."""
+        self.add(1)
+        self.world.set_account("a", Shape(1, 4, 4, 400))
+        self.submit("r1", "a", 1, 2, idempotent=False)
+        self.submit("r2", "a", 1, 2, idempotent=False)
+        self.world.decide()
+        self.submit("whole", "a", 1, 4)
+        self.submit("borrower", "b", 1, 2)
+        self.world.decide()
+        self.world.end("r1")
+        self.world.decide()
+        self.assertIn("borrower", self.world.running)
+        self.world.end("r2")
+        self.world.decide()
+        self.assertEqual(self.preempted(), [("borrower", False)])
+
     def test_unstoppable_work_stays_off_guaranteed_capacity(self):
         """Work that cannot be stopped waits although capacity is idle."""
         self.add(1)
@@ -263,6 +280,54 @@
             self.world.end(next(iter(self.world.running)))
         self.assertEqual(self.placed(), ["long", "soon", "later"])
 
+    def run_singly(self, count):
+        """Run that many jobs one after the other."""
+        for _ in range(count):
+            self.world.decide()
+            self.world.end(next(iter(self.world.running)))
+
+    def test_missed_target_gives_way_to_one_that_can_be_met(self):
+        """Late work does not make other work late; it keeps its own order."""
+        self.add(1)
+        self.submit("late-2", "a", 1, 4, class_name="soon", submitted_at=-4_000.0)
+        self.submit("late-1", "a", 1, 4, class_name="soon", submitted_at=-5_000.0)
+        self.submit("later", "b", 1, 4, class_name="later")
+        self.run_singly(3)
+        self.assertEqual(self.placed(), ["later", "late-1", "late-2"])
+
+    def test_target_that_is_probably_met_keeps_its_rank(self):
+        """A long run time that is unlikely does not count as a miss."""
+
+        class WideRunTimes:
+            def predict(self, job, quantile):
+                return 2_000.0 if quantile > 0.5 else 10.0
+
+        self.world = World(WideRunTimes())
+        spec = ClassSpec("soon", within_s=1_000.0)
+        self.world.tell(ClassChanged(spec.name, spec))
+        self.add(1)
+        self.submit("other", "b", 1, 4)
+        self.submit("tight", "a", 1, 4, class_name="soon")
+        self.run_singly(2)
+        self.assertEqual(self.placed(), ["tight", "other"])
+
+    def test_missed_target_inside_the_guarantee_keeps_its_rank(self):
+        """An account gets its guarantee for late work too."""
+        self.add(1)
+        self.world.set_account("a", WHOLE)
+        self.submit("late", "a", 1, 4, class_name="soon", submitted_at=-5_000.0)
+        self.submit("later", "b", 1, 4, class_name="later")
+        self.run_singly(2)
+        self.assertEqual(self.placed(), ["late", "later"])
+
+    def test_missed_target_is_not_put_off_for_ever(self):
+        """After a day of waiting, late work goes before newer work."""
+        self.add(1)
+        self.submit("late", "a", 1, 4, class_name="soon", submitted_at=-90_000.0)
+        self.submit("later", "b", 1, 4, class_name="later")
+        self.run_singly(2)
+        self.assertEqual(self.placed(), ["late", "later"])
+
     def test_burst_of_one_account_leaves_another_its_turn(self):
         """A burst of earlier jobs does not use up a call for others."""
         self.add(30)
@@ -356,9 +421,11 @@
             self.submit(f"r{number}", "a", 1, 1, idempotent=number > 0)
         for _ in range(3):
             self.world.decide()
+        self.world.set_zone("z1", False)
+        self.world.decide(0.2)
+        self.assertEqual(self.preempted(), [])
         for number in range(10):
             self.world.add(upstream(f"v{number}", zone="z2"))
-        self.world.set_zone("z1", False)
         for _ in range(5):
             self.world.decide(0.2)
         self.assertLessEqual(len(self.preempted()), 20)
