--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduler_feed.py
@@ -0,0 +1,276 @@
+"""What the scheduler is told of the replicated state."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+from enum import IntEnum
+from typing import NamedTuple
+
+from persimmonyard.scheduler import (
+    AttemptEnded,
+    AttemptPlaced,
+    AttemptRunning,
+    ClassChanged,
+    ClientAccountChanged,
+    Event,
+    Job,
+    JobGone,
+    JobWaiting,
+    Scheduler,
+    UpstreamDown,
+    UpstreamLeaving,
+    UpstreamUp,
+    ZoneChanged,
+)
+from persimmonyard.state import Change, ChangeKind, StateMachine
+from persimmonyard.state.records import (
+    Attempt,
+    AttemptOutcome,
+    AttemptState,
+    RequestRecord,
+    RequestState,
+    UpstreamStatus,
+)
+
+__all__ = ["SchedulerFeed"]
+
+_OUTCOMES_TO_AVOID = frozenset(
+    {AttemptOutcome.FAILED, AttemptOutcome.LOST, AttemptOutcome.NEVER_BEGAN}
+)
+
+
+class _Stage(IntEnum):
+    """What the scheduler was told of an attempt."""
+
+    UNTOLD = 0
+    PLACED = 1
+    RUNNING = 2
+    ENDED = 3
+
+
+class _Told(NamedTuple):
+    """The latest attempt of a request that the scheduler knows."""
+
+    number: int
+    stage: _Stage
+
+
+class SchedulerFeed:
+    """Turn changes of the replicated state into facts for a scheduler.
+
+    It remembers what it has told, so a change may be fed more than once.
+    """
+
+    def __init__(self, machine: StateMachine):
+        self.scheduler = Scheduler()
+        self._machine = machine
+        self._told_by_request: dict[str, _Told] = {}
+        self._told_zones: dict[str, bool] = {}
+        self._told_classes: dict[str, object] = {}
+        self._told_accounts: dict[str, object] = {}
+
+    def everything(self) -> Iterator[None]:
+        """Feed the whole state, one item a step.
+
+        Items that change meanwhile are fed as they are when their turn
+        comes, and once more afterwards.
+        """
+        machine = self._machine
+        self._feed_configuration()
+        yield
+        for upstream_id in list(machine.upstream_by_id):
+            self._feed_upstream(upstream_id)
+            yield
+        for request_id in list(machine.request_by_id):
+            record = machine.request_by_id.get(request_id)
+            if record is None:
+                continue
+            if record.ended():
+                self._feed_history(record)
+            else:
+                self._feed_request(record)
+            yield
+
+    def feed(self, change: Change) -> None:
+        """Tell what has changed."""
+        match change.kind:
+            case ChangeKind.CONFIGURATION:
+                self._feed_configuration()
+            case ChangeKind.UPSTREAM:
+                self._feed_upstream(change.item_id)
+            case ChangeKind.REQUEST:
+                record = self._machine.request_by_id.get(change.item_id)
+                if record is not None:
+                    self._feed_request(record)
+
+    def knows(self, request_id: str, number: int) -> bool:
+        """Return whether an attempt was told of from the replicated state."""
+        told = self._told_by_request.get(request_id)
+        return told is not None and told.number >= number
+
+    def take_back(self, request_id: str, number: int, not_before: float) -> None:
+        """Release a placement that was not committed and wait again.
+
+        If its outcome is unknown and it is applied later, its change tells
+        the scheduler about the attempt.
+        """
+        if self.knows(request_id, number):
+            return
+        self._observe(AttemptEnded(request_id, number, "never_began", 0.0))
+        self.wait_again(request_id, not_before)
+
+    def wait_again(self, request_id: str, not_before: float) -> None:
+        """Let a request wait again if it still needs a placement."""
+        record = self._machine.request_by_id.get(request_id)
+        if record is not None and record.state == RequestState.ACCEPTED:
+            self._observe(JobWaiting(_job_of(record, not_before)))
+
+    def _observe(self, event: Event) -> None:
+        self.scheduler.observe(event, time.time())
+
+    # Configuration and upstreams.
+
+    def _feed_configuration(self) -> None:
+        configuration = self._machine.configuration
+        for name, zone in configuration.zone_by_name.items():
+            if self._told_zones.get(name) == zone.in_service:
+                continue
+            self._told_zones[name] = zone.in_service
+            self._observe(ZoneChanged(name, zone.in_service))
+        for name in list(self._told_zones):
+            if name in configuration.zone_by_name:
+                continue
+            # A zone that is not configured counts as in service.
+            del self._told_zones[name]
+            self._observe(ZoneChanged(name, True))
+        self._feed_items(self._told_classes, configuration.class_by_name, ClassChanged)
+        self._feed_items(
+            self._told_accounts,
+            configuration.client_account_by_name,
+            ClientAccountChanged,
+        )
+
+    def _feed_items(self, told: dict, by_name: dict, event_class: type) -> None:
+        for name, spec in by_name.items():
+            if told.get(name) == spec:
+                continue
+            told[name] = spec
+            self._observe(event_class(name, spec))
+        for name in list(told):
+            if name in by_name:
+                continue
+            del told[name]
+            self._observe(event_class(name, None))
+
+    def _feed_upstream(self, upstream_id: str) -> None:
+        known = self._machine.upstream_by_id.get(upstream_id)
+        if known is None:
+            return
+        match known.status:
+            case UpstreamStatus.UP:
+                self._observe(UpstreamUp(known.spec))
+            case UpstreamStatus.QUARANTINED:
+                self._observe(UpstreamUp(known.spec, known.until))
+            case UpstreamStatus.LEAVING:
+                self._observe(UpstreamUp(known.spec))
+                self._observe(UpstreamLeaving(upstream_id))
+            case UpstreamStatus.LOST:
+                self._observe(UpstreamDown(upstream_id))
+
+    # Requests and attempts.
+
+    def _feed_request(self, record: RequestRecord) -> None:
+        job = _job_of(record)
+        for attempt in record.attempts:
+            self._feed_attempt(record, job, attempt)
+        if record.state == RequestState.ACCEPTED:
+            self._observe(JobWaiting(job))
+        if record.ended():
+            self._observe(JobGone(record.request_id))
+            self._told_by_request.pop(record.request_id, None)
+
+    def _feed_history(self, record: RequestRecord) -> None:
+        """Tell a new scheduler how the attempts of an ended request went."""
+        job = _job_of(record)
+        for attempt in record.attempts:
+            self._observe(replace(_ended_event(record, attempt), job=job))
+
+    def _feed_attempt(self, record: RequestRecord, job: Job, attempt: Attempt) -> None:
+        """Tell what is new about an attempt; earlier ones have ended."""
+        told = self._told_by_request.get(record.request_id, _Told(0, _Stage.ENDED))
+        if attempt.number < told.number:
+            return
+        stage = _Stage.UNTOLD
+        if attempt.number == told.number:
+            stage = told.stage
+        now = _stage_of(attempt)
+        if now == _Stage.ENDED and stage == _Stage.UNTOLD:
+            self._observe(replace(_ended_event(record, attempt), job=job))
+        elif stage == _Stage.UNTOLD:
+            self._observe(_placed_event(job, attempt))
+        if now == _Stage.RUNNING and stage < now:
+            assert attempt.started_at is not None
+            self._observe(
+                AttemptRunning(record.request_id, attempt.number, attempt.started_at)
+            )
+        if now == _Stage.ENDED and _Stage.UNTOLD < stage < now:
+            self._observe(_ended_event(record, attempt))
+        self._told_by_request[record.request_id] = _Told(attempt.number, now)
+
+
+def _stage_of(attempt: Attempt) -> _Stage:
+    if attempt.state == AttemptState.ENDED:
+        return _Stage.ENDED
+    if attempt.started_at is not None:
+        return _Stage.RUNNING
+    return _Stage.PLACED
+
+
+def _job_of(record: RequestRecord, not_before: float = 0.0) -> Job:
+    avoid = set()
+    for attempt in record.attempts:
+        # A member that was not ready is avoided by the next attempt only.
+        never_began = attempt.outcome == AttemptOutcome.NEVER_BEGAN
+        if never_began and attempt is not record.attempts[-1]:
+            continue
+        if attempt.outcome not in _OUTCOMES_TO_AVOID:
+            continue
+        for index in [*attempt.failed_members, *attempt.lost_members]:
+            avoid.add(attempt.members[index].upstream_id)
+    return Job(
+        request_id=record.request_id,
+        client_account=record.client_account,
+        class_name=record.class_name,
+        shape=record.shape,
+        declared_run_s=record.declared_run_s,
+        idempotent=record.idempotent,
+        checkpointable=record.checkpointable,
+        submitted_at=record.submitted_at,
+        not_before=max(record.not_before, not_before),
+        avoid=frozenset(avoid),
+        attempts=len(record.attempts),
+    )
+
+
+def _placed_event(job: Job, attempt: Attempt) -> AttemptPlaced:
+    return AttemptPlaced(
+        job,
+        attempt.number,
+        tuple(member.upstream_id for member in attempt.members),
+        attempt.borrowed,
+        tuple(member.incarnation for member in attempt.members),
+        attempt.placed_at,
+    )
+
+
+def _ended_event(record: RequestRecord, attempt: Attempt) -> AttemptEnded:
+    run_s = 0.0
+    if attempt.started_at is not None and attempt.ended_at is not None:
+        run_s = attempt.ended_at - attempt.started_at
+    failed_on = []
+    for index in attempt.failed_members:
+        failed_on.append(attempt.members[index].upstream_id)
+    outcome = attempt.outcome or AttemptOutcome.LOST
+    return AttemptEnded(
+        record.request_id, attempt.number, outcome.value, run_s, tuple(failed_on)
+    )
