--- a/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -177,8 +177,11 @@
                 self._feed.wait_again(request_id, time.time() + REJECTED_BACKOFF_S)
 
     async def _quarantine(self, decision: Quarantine) -> None:
-        known = self._ledger.machine.upstream_by_id[decision.upstream_id]
-        if known.status in (UpstreamStatus.LEAVING, UpstreamStatus.LOST):
+        known = self._ledger.machine.upstream_by_id.get(decision.upstream_id)
+        if known is None or known.status in (
+            UpstreamStatus.LEAVING,
+            UpstreamStatus.LOST,
+        ):
             return
         status = UpstreamStatus.UP
         if decision.until > time.time():
