--- a/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduling.py
@@ -132,9 +132,11 @@
             match decision:
                 case Place():
                     await self._place(decision)
-                case Preempt(request_id, number, checkpoint, _, reason):
+                case Preempt(request_id, number, checkpoint, for_request, reason):
                     await self._ledger.commit(
-                        StopAttempt(request_id, number, checkpoint, reason.text)
+                        StopAttempt(
+                            request_id, number, checkpoint, reason.text, for_request
+                        )
                     )
                 case Refuse(request_id, code, reason):
                     await self._refuse(request_id, code, reason.text)
--- a/packages/daemon/src/persimmonyard/daemon/control/service.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/service.py
@@ -134,7 +134,7 @@
                 record = self._record(item_id)
                 reason = self._scheduling.scheduler.why_waiting(item_id)
                 text = reason.text if reason is not None else ""
-                return msgspec.json.encode(explanation(record, text))
+                return msgspec.json.encode(explanation(machine, record, text))
             case "configuration":
                 return msgspec.json.encode(machine.configuration)
             case "status":
--- a/packages/daemon/src/persimmonyard/daemon/control/views.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/views.py
@@ -16,7 +16,7 @@
     Outcome,
 )
 
-__all__ = ["explanation", "order_for", "outcome_of", "status"]
+__all__ = ["explanation", "order_for", "outcome_of", "preempted_for", "status"]
 
 
 def outcome_of(record: RequestRecord) -> Outcome:
@@ -71,8 +71,34 @@
     )
 
 
-def explanation(record: RequestRecord, waiting: str) -> dict[str, Any]:
-    """Return why a request is where it is, and where it ran."""
+def preempted_for(machine: StateMachine, record: RequestRecord) -> list[dict[str, Any]]:
+    """Return the attempts that were stopped for a request.
+
+    Requests of other client accounts are not named.
+    """
+    found = []
+    for other in machine.request_by_id.values():
+        for attempt in other.attempts:
+            if attempt.preempted_for != record.request_id:
+                continue
+            own = other.client_account == record.client_account
+            found.append(
+                {
+                    "request": other.request_id if own else None,
+                    "class": other.class_name,
+                    "upstreams": [member.upstream_id for member in attempt.members],
+                    "outcome": attempt.outcome,
+                    "borrowed": attempt.borrowed,
+                    "reason": attempt.stop_reason,
+                }
+            )
+    return found
+
+
+def explanation(
+    machine: StateMachine, record: RequestRecord, waiting: str
+) -> dict[str, Any]:
+    """Return why a request is where it is, where it ran, and what gave way."""
     attempts = []
     for attempt in record.attempts:
         attempts.append(
@@ -93,6 +119,7 @@
         "message": record.message,
         "waiting_because": waiting,
         "attempts": attempts,
+        "preempted_for_it": preempted_for(machine, record),
         "history": msgspec.to_builtins(record.history),
     }
 
--- a/packages/state/src/persimmonyard/state/attempt_commands.py
+++ b/packages/state/src/persimmonyard/state/attempt_commands.py
@@ -116,6 +116,7 @@
     attempt.state = AttemptState.STOPPING
     attempt.checkpoint_wanted = at_checkpoint
     attempt.stop_reason = sys.intern(command.reason)
+    attempt.preempted_for = command.for_request
     store.note(ChangeKind.REQUEST, record.request_id)
     return CommandResult()
 
--- a/packages/state/src/persimmonyard/state/commands.py
+++ b/packages/state/src/persimmonyard/state/commands.py
@@ -142,13 +142,15 @@
     """Stop an attempt so that its capacity can be used for other work.
 
     Refused for started work that could not run again: a non-idempotent
-    request stops only at a checkpoint.
+    request stops only at a checkpoint.  ``for_request`` is the request that
+    gets the capacity, if there is one.
     """
 
     request_id: str
     number: int
     checkpoint: bool
     reason: str = ""
+    for_request: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/state/src/persimmonyard/state/records.py
+++ b/packages/state/src/persimmonyard/state/records.py
@@ -106,6 +106,7 @@
     borrowed: bool = False
     checkpoint_wanted: bool = False
     stop_reason: str = ""
+    preempted_for: str = ""
     lost_members: tuple[int, ...] = ()
     failed_members: tuple[int, ...] = ()
     placed_at: float = 0.0
--- a/test/daemon/test_scheduling.py
+++ b/test/daemon/test_scheduling.py
@@ -9,6 +9,7 @@
     REJECTED_BACKOFF_S,
     SchedulingController,
 )
+from persimmonyard.daemon.control.views import preempted_for
 from persimmonyard.model import (
     ClassSpec,
     ClientAccountSpec,
@@ -132,6 +133,9 @@
         self.assertEqual(len(stopping), 1)
         request_id, attempt = stopping[0]
         self.assertIn("r-own", attempt.stop_reason)
+        machine = self.control.ledger.machine
+        (victim,) = preempted_for(machine, record)
+        self.assertEqual(victim["reason"], attempt.stop_reason)
         self.control.run(
             EndAttempt(request_id, 1, attempt.fence, AttemptOutcome.STOPPED)
         )
