--- a/packages/cli/src/persimmonyard/cli/tables.py
+++ b/packages/cli/src/persimmonyard/cli/tables.py
@@ -99,6 +99,14 @@
         attempts.append((one["number"], one["state"], one["outcome"], upstreams))
     if attempts:
         lines += ["", table(("attempt", "state", "outcome", "upstreams"), attempts)]
+    victims = []
+    for one in explanation.get("preempted_for_it", ()):
+        upstreams = ", ".join(one["upstreams"])
+        request = one["request"] or "of another client account"
+        victims.append((request, one["class"], upstreams, one["reason"]))
+    if victims:
+        headings = ("preempted for it", "class", "upstreams", "reason")
+        lines += ["", table(headings, victims)]
     return "\n".join(lines)
 
 
--- a/test/cli/test_main.py
+++ b/test/cli/test_main.py
@@ -124,6 +124,19 @@
 
 
 class CallerCommandTests(CliCase):
+    def test_explain_shows_what_was_preempted(self):
+        """A caller sees what gave way, and no other account's request."""
+        victim = {
+            "request": None,
+            "class": "bulk",
+            "upstreams": ["up-1"],
+            "reason": "preempted for request r-1",
+        }
+        body = {"request": "r-1", "state": "started", "preempted_for_it": [victim]}
+        self.entry.answers = [(200, body)]
+        _, text, _ = self.cli("explain", "r-1")
+        self.assertIn("of another client account  bulk   up-1", text)
+
     def test_exit_status_tells_the_outcome(self):
         """Scripts can tell answers, refusals and unknown outcomes apart."""
         for code, not_run, status in (
