--- a/packages/standin/src/persimmonyard/standin/deployment.py
+++ b/packages/standin/src/persimmonyard/standin/deployment.py
@@ -18,6 +18,7 @@
 
 START_DEADLINE_S = 30.0
 STOP_DEADLINE_S = 40.0
+REPORTED_LINES = 40
 
 
 def reserve_port() -> socket.socket:
@@ -168,6 +169,7 @@
 
     def stop(self) -> None:
         """Stop everything gracefully, and kill what does not stop."""
+        self._report_exited()
         for prefix in ("up-", "entry-", "control-"):
             names = [name for name in self.process_by_name if name.startswith(prefix)]
             for name in names:
@@ -179,6 +181,16 @@
         for holder in self.port_holders:
             holder.close()
 
+    def _report_exited(self) -> None:
+        """Print how a process ended that nobody asked to stop."""
+        for name, process in self.process_by_name.items():
+            status = process.poll()
+            if status is None:
+                continue
+            lines = (self.folder / f"{name}.log").read_text().splitlines()
+            print(f"{name} exited with status {status}:", file=sys.stderr)
+            print("\n".join(lines[-REPORTED_LINES:]), file=sys.stderr)
+
     def stop_process(self, name: str) -> int:
         """Stop one process gracefully and return its exit status."""
         self._ask_to_stop(name)
