Remove an event of the entry's local state that nothing waits for

Cause: LocalState.ready was set with every lease and never read. Change: the event and its import are gone; behaviour is the same.

--- a/packages/daemon/src/persimmonyard/daemon/entry/local_state.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/local_state.py
@@ -1,6 +1,5 @@
 """What an entry knows: configuration under a lease, watched outcomes."""
 
-import asyncio
 import time
 
 from persimmonyard.daemon.entry.waiters import Waiters
@@ -23,7 +22,6 @@
     def __init__(self) -> None:
         self.configuration = Configuration()
         self.lease_until = 0.0
-        self.ready = asyncio.Event()
         self.waiters = Waiters()
         self._want_everything = False
         self._tokens = TokenIndex()
@@ -52,7 +50,6 @@
         if beat.sequence:
             self.lease_until = max(self.lease_until, sent_at + beat.lease_s)
             self._answered(beat.sequence)
-            self.ready.set()
         for outcome in beat.outcomes:
             self.waiters.resolve(outcome)
         return True
