--- a/packages/daemon/src/persimmonyard/daemon/control/transport.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/transport.py
@@ -35,15 +35,19 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     # Measuring the bandwidth costs a ping for each heartbeat.
     ("grpc.http2.bdp_probe", 0),
+    # Peers check an idle connection once a second; see the channel options.
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
+    ("grpc.http2.max_ping_strikes", 0),
 ]
 _CHANNEL_OPTIONS = [
     *MESSAGE_OPTIONS,
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 1_000),
-    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.min_reconnect_backoff_ms", 500),
+    ("grpc.max_reconnect_backoff_ms", 500),
     # A connection to a replica that went away without a word ends after this.
-    ("grpc.keepalive_time_ms", 10_000),
-    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.keepalive_time_ms", 1_000),
+    ("grpc.keepalive_timeout_ms", 1_000),
+    ("grpc.http2.max_pings_without_data", 0),
     # Without it, a channel to the same address would share a dead connection.
     ("grpc.use_local_subchannel_pool", 1),
 ]
@@ -92,6 +96,10 @@
         self._receive: Callable[[str, Message], None] | None = None
         self._logger = get_logger("transport")
 
+    def register(self, server: grpc.aio.Server) -> None:
+        """Add the service that takes the streams of other replicas."""
+        control_pb2_grpc.add_ReplicationServicer_to_server(self, server)
+
     # The interface that the replica uses.
 
     async def start(self, receive: Callable[[str, Message], None]) -> None:
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Roles that accept, place and supervise jobs of several steps."""
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -0,0 +1,255 @@
+"""The control role of the job service: replica, leadership, HTTP and gRPC."""
+
+import asyncio
+import gc
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import grpc
+
+from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
+from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.jobs.calls import (
+    Call,
+    CallReply,
+    Join,
+    JobCall,
+    Outcome,
+    call_handler,
+)
+from persimmonyard.daemon.jobs.durations import durations
+from persimmonyard.daemon.jobs.job_service import JobService
+from persimmonyard.daemon.jobs.leader_client import LeaderClient
+from persimmonyard.daemon.jobs.leadership import Leadership
+from persimmonyard.daemon.jobs.port import UpstreamPort
+from persimmonyard.daemon.jobs.settings import JobSettings
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.jobs import Command, JobStore, encode_command
+from persimmonyard.replication import (
+    LOG_DAMAGED,
+    CoreConfig,
+    FileDisk,
+    LogDamagedError,
+    MemberChangeError,
+    Replica,
+    initialize,
+)
+
+__all__ = ["JobControlProcess"]
+
+# How often the process looks whether it leads, in seconds.
+_WATCH_S = 0.05
+# Pause between requests to be taken in as a member, in seconds.
+_JOIN_S = 0.5
+# Calls in progress get this long at a shutdown, in seconds.
+_DRAIN_S = 2.0
+# Elections end well within the time after which the platform expects all
+# processes to be in touch again; see docs/platform.md.
+_HEARTBEAT_S = 0.2
+_ELECTION_MIN_S = 0.8
+_ELECTION_MAX_S = 1.3
+_LEASE_S = 0.7
+
+
+class JobControlProcess:
+    """Run the control role.
+
+    ``build_app`` returns the HTTP application for operators and upstreams.
+    """
+
+    def __init__(
+        self,
+        settings: JobSettings,
+        port: UpstreamPort,
+        build_app: Callable[["JobControlProcess"], Any],
+    ):
+        self._settings = settings
+        self._port = port
+        self._log = get_logger("control")
+        self.store = JobStore()
+        self.leadership: Leadership | None = None
+        self.service = JobService(self.store, lambda: self.leadership)
+        self._build_app = build_app
+        self._durations = durations(settings.bounds)
+        self._tasks: list[asyncio.Task] = []
+        self._http: HttpServer | None = None
+        self.failure: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+    # Names and addresses.
+
+    @property
+    def name(self) -> str:
+        """The name of the replica: the IP address of its instance."""
+        return self._settings.addresses.ip
+
+    def peer_address(self, name: str) -> str:
+        """Return the gRPC address of a control process."""
+        return f"{name}:{self._settings.addresses.peer_port}"
+
+    def leader_address(self) -> str | None:
+        """Return the control address of the leader, or None."""
+        name = self._replica.leader_hint()
+        if not name:
+            return None
+        port = self._settings.addresses.control.rpartition(":")[2]
+        return f"{name}:{port}"
+
+    def own_address(self) -> str:
+        """Return the control address of this process."""
+        return self._settings.addresses.control
+
+    # Life cycle.
+
+    async def start(self) -> None:
+        """Load the folder, join the group and serve."""
+        seeds = [seed.rpartition(":")[0] for seed in self._settings.group.seeds]
+        seed_addresses = {seed: self.peer_address(seed) for seed in seeds}
+        folder = Path(self._settings.group.data_folder)
+        if self._settings.group.first_start and self.name in seed_addresses:
+            self._initialize(folder, seed_addresses)
+        known = {**seed_addresses, self.name: self.peer_address(self.name)}
+        transport = GrpcTransport(self.name, known)
+        config = CoreConfig(
+            replica_id=self.name,
+            incarnation="",
+            peers=tuple(seeds),
+            heartbeat_s=_HEARTBEAT_S,
+            election_min_s=_ELECTION_MIN_S,
+            election_max_s=_ELECTION_MAX_S,
+            lease_s=_LEASE_S,
+            seed=random.getrandbits(32),
+        )
+        self._replica = Replica(
+            config, FileDisk(folder), transport, self.store, self._fail
+        )
+        self._server = grpc.aio.server(options=MESSAGE_OPTIONS)
+        self._server.add_generic_rpc_handlers((call_handler(self._answer),))
+        transport.register(self._server)
+        self._server.add_insecure_port(self.peer_address(self.name))
+        try:
+            await self._replica.start()
+        except LogDamagedError as error:
+            self._log.error("the data folder is damaged", error=str(error))
+            self._fail(LOG_DAMAGED)
+            return
+        gc.freeze()
+        await self._server.start()
+        host, _, port = self.own_address().rpartition(":")
+        self._http = HttpServer(self._build_app(self), host, int(port), _DRAIN_S)
+        await self._http.start()
+        self._client = LeaderClient(list(seed_addresses.values()))
+        self._tasks = [
+            asyncio.create_task(self._watch_leadership()),
+            asyncio.create_task(self._join()),
+        ]
+        self._log.info("listening", control=self.own_address(), members=seeds)
+
+    def _initialize(self, folder: Path, seed_addresses: dict[str, str]) -> None:
+        try:
+            initialize(folder, self.name, seed_addresses)
+        except FileExistsError:
+            self._log.info("the data folder is in use already")
+
+    def _fail(self, code: int) -> None:
+        if not self.failure.done():
+            self._log.error("replica stopped", code=int(code))
+            self.failure.set_result(code)
+
+    async def stop(self) -> None:
+        """Hand leadership over, finish the calls in progress and stop."""
+        await self._replica.stop()
+        self._end_leadership()
+        for task in self._tasks:
+            task.cancel()
+        if self._http is not None:
+            await self._http.stop()
+        await self._server.stop(0.2)
+        await self._port.close()
+
+    # Leadership.
+
+    async def _watch_leadership(self) -> None:
+        while True:
+            leads = self._replica.is_leader()
+            current = self.leadership
+            if current is not None and (not leads or current.broken):
+                self._end_leadership()
+            if leads and self.leadership is None:
+                self._begin_leadership()
+            await asyncio.sleep(_WATCH_S)
+
+    def _begin_leadership(self) -> None:
+        term = self._replica.status().term
+        self.leadership = Leadership(
+            self.store,
+            self._port,
+            self._durations,
+            term,
+            self._propose,
+            self._replica.is_leader,
+        )
+        self.leadership.start()
+
+    def _end_leadership(self) -> None:
+        if self.leadership is not None:
+            self.leadership.close()
+            self.leadership = None
+
+    async def _propose(self, command: Command) -> Any:
+        started_at = time.perf_counter()
+        result = await self._replica.propose(encode_command(command))
+        took_ms = int((time.perf_counter() - started_at) * 1_000)
+        if took_ms > self._settings.bounds.contact_ms / 10:
+            self._log.warning(
+                "slow commit", command=type(command).__name__, took_ms=took_ms
+            )
+        return result
+
+    # Membership.
+
+    async def _join(self) -> None:
+        """Ask to be taken in until this process is a member."""
+        while True:
+            status = self._replica.status()
+            if self.name in (*status.voters, *status.learners):
+                return
+            call = Join(self.name, self.peer_address(self.name))
+            reply = await self._client.call(call, 1.0)
+            self._log.info("asked to join", outcome=str(reply.outcome))
+            await asyncio.sleep(_JOIN_S * random.uniform(0.5, 1.5))
+
+    async def _answer(self, call: Call, context: Any) -> CallReply:
+        if isinstance(call, JobCall):
+            reply = await self.service.answer(call)
+        elif self.leadership is None or not self._replica.is_leader():
+            reply = CallReply(Outcome.NOT_LEADER)
+        elif isinstance(call, Join):
+            reply = await self._take_in(call)
+        else:
+            known = self.store.configuration is not None
+            reply = CallReply(Outcome.OK if known else Outcome.NO_CONFIGURATION)
+        if reply.outcome != Outcome.NOT_LEADER and isinstance(call, JobCall):
+            return reply
+        return self._with_members(reply)
+
+    def _with_members(self, reply: CallReply) -> CallReply:
+        leader = self._replica.leader_hint()
+        status = self._replica.status()
+        members = tuple(self.peer_address(name) for name in status.voters)
+        address = self.peer_address(leader) if leader else ""
+        return CallReply(reply.outcome, leader=address, members=members)
+
+    async def _take_in(self, call: Join) -> CallReply:
+        status = self._replica.status()
+        if call.name in (*status.voters, *status.learners):
+            return CallReply(Outcome.OK)
+        try:
+            await self._replica.add_member(call.name, call.address)
+        except MemberChangeError as error:
+            self._log.info("join refused", member=call.name, reason=str(error))
+            return CallReply(Outcome.UNKNOWN)
+        self._log.info("member added", member=call.name)
+        return CallReply(Outcome.OK)
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -0,0 +1,90 @@
+"""The entry role of the job service: it passes callers' calls to the leader."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.jobs.leader_client import LeaderClient
+from persimmonyard.daemon.jobs.settings import JobSettings
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.replication import steady_now
+
+__all__ = ["JobEntryProcess"]
+
+# The load balancer polls once a second and takes an instance out after two
+# misses; calls go on arriving for this many seconds after a stop begins.
+_NOTICE_S = 2.3
+# Time for calls in progress after the listener has closed, in seconds.
+_DRAIN_S = 3.0
+# Without an answer of a leader for this long, an entry asks again.
+_FRESH_S = 2.5
+_PROBE_S = 0.7
+
+
+class JobEntryProcess:
+    """Run the entry role.
+
+    ``build_apps`` returns the applications for callers and for readiness.
+    """
+
+    def __init__(
+        self,
+        settings: JobSettings,
+        build_apps: Callable[["JobEntryProcess"], tuple[Any, Any]],
+    ):
+        self._settings = settings
+        self._build_apps = build_apps
+        self._log = get_logger("entry")
+        port = settings.addresses.peer_port
+        seeds = []
+        for seed in settings.group.seeds:
+            seeds.append(f"{seed.rpartition(':')[0]}:{port}")
+        self.client = LeaderClient(seeds)
+        self.stopping = False
+        self._reached = False
+        self._probing: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Serve callers and the load balancer."""
+        callers, readiness = self._build_apps(self)
+        addresses = self._settings.addresses
+        self._callers = _server(callers, addresses.callers)
+        self._readiness = _server(readiness, addresses.readiness)
+        await self._callers.start()
+        await self._readiness.start()
+        self._log.info("listening", callers=addresses.callers)
+
+    async def stop(self) -> None:
+        """Leave the load balancer, then finish the calls in progress."""
+        self.stopping = True
+        await asyncio.sleep(_NOTICE_S)
+        self._callers.stop_listening()
+        await self._callers.stop()
+        await self._readiness.stop()
+        await self.client.close()
+
+    def ready(self) -> bool:
+        """Return whether callers should be sent here.
+
+        A leader that was not heard lately is asked in the background.
+        """
+        if self.stopping:
+            return False
+        if steady_now() - self.client.heard_at < _FRESH_S:
+            self._reached = True
+            return True
+        if self._probing is None or self._probing.done():
+            self._probing = asyncio.create_task(self._probe())
+        return self._reached
+
+    async def _probe(self) -> None:
+        reached = await self.client.probe(_PROBE_S)
+        if reached != self._reached:
+            self._log.info("readiness changed", leader_reached=reached)
+        self._reached = reached
+
+
+def _server(app: Any, address: str) -> HttpServer:
+    host, _, port = address.rpartition(":")
+    return HttpServer(app, host, int(port), _DRAIN_S)
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -0,0 +1,147 @@
+"""An entry's way to the control leader."""
+
+import asyncio
+import random
+
+import grpc
+import msgspec
+
+from persimmonyard.daemon.jobs.calls import (
+    CALL_METHOD,
+    Call,
+    CallReply,
+    JobCall,
+    Outcome,
+    Probe,
+    decode_reply,
+    encode,
+)
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.replication import steady_now
+
+__all__ = ["CHANNEL_OPTIONS", "LeaderClient"]
+
+# A call inside a region takes a few ms and a commit; a lost connection shows
+# after this many seconds.
+_ATTEMPT_S = 0.9
+# Pause before all known processes are tried again, in seconds.
+_PAUSE_S = 0.05
+# A connection that has failed is replaced; this bounds the reconnects.
+CHANNEL_OPTIONS = [
+    ("grpc.initial_reconnect_backoff_ms", 50),
+    ("grpc.min_reconnect_backoff_ms", 300),
+    ("grpc.max_reconnect_backoff_ms", 300),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.enable_http_proxy", 0),
+]
+
+
+class LeaderClient:
+    """Find the leader among the control processes and pass calls to it.
+
+    ``seeds`` are gRPC addresses; more are learned from replies.
+    """
+
+    def __init__(self, seeds: list[str]):
+        self._known = list(seeds)
+        self._leader = ""
+        self._channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self._closing: set[asyncio.Task] = set()
+        self._log = get_logger("leader")
+        self.heard_at = float("-inf")
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channel_by_address.values():
+            await channel.close()
+
+    async def probe(self, within_s: float) -> bool:
+        """Return whether a leader answers in time."""
+        reply = await self.call(Probe(), within_s)
+        return reply.outcome in (Outcome.OK, Outcome.NO_CONFIGURATION)
+
+    async def call(self, call: Call, within_s: float) -> CallReply:
+        """Return the leader's reply.
+
+        Without one in time the outcome is ``UNKNOWN`` if a process may have
+        carried the call out, else ``NOT_LEADER``.
+        """
+        deadline = steady_now() + within_s
+        in_doubt = False
+        tried: set[str] = set()
+        while (left := deadline - steady_now()) > 0:
+            address = self._next_address(tried)
+            if address is None:
+                tried.clear()
+                await asyncio.sleep(min(left, _PAUSE_S * random.uniform(0.5, 1.5)))
+                continue
+            tried.add(address)
+            reply = await self._attempt(address, call, min(left, _ATTEMPT_S))
+            if reply is None or reply.outcome == Outcome.UNKNOWN:
+                in_doubt = in_doubt or isinstance(call, JobCall)
+                continue
+            self._learn(reply)
+            if reply.outcome == Outcome.NOT_LEADER:
+                if reply.leader not in ("", address):
+                    tried.discard(reply.leader)
+                continue
+            self._note_leader(address)
+            return reply
+        return CallReply(Outcome.UNKNOWN if in_doubt else Outcome.NOT_LEADER)
+
+    def _next_address(self, tried: set[str]) -> str | None:
+        if self._leader and self._leader not in tried:
+            return self._leader
+        untried = [address for address in self._known if address not in tried]
+        return random.choice(untried) if untried else None
+
+    def _learn(self, reply: CallReply) -> None:
+        for address in reply.members:
+            if address not in self._known:
+                self._known.append(address)
+        if reply.outcome == Outcome.NOT_LEADER and reply.leader:
+            self._leader = reply.leader
+
+    def _note_leader(self, address: str) -> None:
+        if self._leader != address or self.heard_at == float("-inf"):
+            self._log.info("leader found", address=address)
+        self._leader = address
+        self.heard_at = steady_now()
+
+    async def _attempt(
+        self, address: str, call: Call, within_s: float
+    ) -> CallReply | None:
+        """Return a reply, or None if the outcome is unknown."""
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            self._channel_by_address[address] = channel
+        method = channel.unary_unary(
+            CALL_METHOD, request_serializer=encode, response_deserializer=decode_reply
+        )
+        try:
+            return await method(call, timeout=within_s)
+        except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
+            self._drop(address, channel, error)
+            return None
+
+    def _drop(
+        self, address: str, channel: grpc.aio.Channel, error: Exception
+    ) -> None:
+        """Use a new connection next time: the old one may be silent."""
+        if self._channel_by_address.get(address) is channel:
+            del self._channel_by_address[address]
+        if self._leader == address:
+            self._leader = ""
+            self._log.warning("leader lost", address=address, error=_brief(error))
+        # Calls that are still open on the channel end with their own timeout.
+        task = asyncio.create_task(channel.close(grace=_ATTEMPT_S))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+def _brief(error: Exception) -> str:
+    if isinstance(error, grpc.aio.AioRpcError):
+        return f"{error.code().name}: {error.details()}"
+    return str(error)
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -0,0 +1,439 @@
+"""One term of the control leader: it plans, starts and supervises runs."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from persimmonyard.daemon.jobs.durations import Durations
+from persimmonyard.daemon.jobs.port import UpstreamPort
+from persimmonyard.daemon.jobs.session import UpstreamSession
+from persimmonyard.daemon.jobs.tracks import RunState, RunTrack
+from persimmonyard.daemon.logs import get_logger
+from persimmonyard.jobs import (
+    Command,
+    EndRuns,
+    ExpireJobs,
+    Fleet,
+    JobStore,
+    LiveRun,
+    Placement,
+    PlaceRuns,
+    Planner,
+    Preemption,
+    RunEnd,
+    RunName,
+    RunTimes,
+    TaskEnd,
+    Unit,
+    UnitKey,
+    Upstream,
+    UpstreamHealth,
+    UpstreamReport,
+)
+from persimmonyard.model import Resources
+from persimmonyard.replication import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    steady_now,
+)
+
+__all__ = ["Leadership"]
+
+# Longest time between two plans while units wait, in seconds: capacity may
+# come back, and patience for a rack runs out, without an event.
+_REPLAN_S = 0.5
+# A burst of events leads to one plan, in seconds.
+_GATHER_S = 0.002
+# Jobs that ended are looked for this often, in seconds.
+_EXPIRY_S = 20.0
+_EXPIRE_AT_ONCE = 200
+
+
+class Leadership:
+    """What a leader does and knows in one term.
+
+    ``propose`` commits a command, ``leads`` tells if the term still holds,
+    and ``fence`` is the fencing token of all orders.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        port: UpstreamPort,
+        durations: Durations,
+        fence: int,
+        propose: Callable[[Command], Awaitable[Any]],
+        leads: Callable[[], bool],
+        now: Callable[[], float] = steady_now,
+    ):
+        self.store = store
+        self.port = port
+        self.durations = durations
+        self.fence = fence
+        self.leads = leads
+        self.now = now
+        self.log = get_logger("jobs").bind(term=fence)
+        self.fleet = Fleet(durations.heartbeat_s)
+        self.counts: dict[str, int] = {}
+        # Set when a part of the term has failed, so that a new one begins.
+        self.broken = False
+        self._propose = propose
+        self._times = RunTimes()
+        self._health = UpstreamHealth()
+        self._planner = Planner(store, self.fleet, self._times)
+        self._session_by_id: dict[str, UpstreamSession] = {}
+        self._kick = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    # Life cycle.
+
+    def start(self) -> None:
+        """Take over what former leaders placed, and begin to plan."""
+        inherited = 0
+        for seats in list(self.store.seats_by_upstream.values()):
+            for (name, run), one in list(seats.items()):
+                self._inherit(name, run, one.seat)
+                inherited += 1
+        self.log.info(
+            "leadership begins", jobs=len(self.store.job_by_id), runs=inherited
+        )
+        self.spawn(self._plan_loop())
+        self.spawn(self._expiry_loop())
+
+    def close(self) -> None:
+        """Stop everything that belongs to this term."""
+        for task in list(self._tasks):
+            task.cancel()
+        self.log.info("leadership ends", counts=self.counts)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Run a coroutine until it ends or the term does."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget_task)
+        return task
+
+    def _forget_task(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if isinstance(error, NotLeaderError | OutcomeUnknownError):
+            self.log.info("leadership lost", error=str(error))
+            return
+        if error is not None:
+            self.log.error("task failed", exc_info=error)
+            self.broken = True
+
+    def _inherit(self, name: RunName, run: int, seat: Any) -> None:
+        report = UpstreamReport(
+            seat.upstream_id,
+            seat.incarnation,
+            -1,
+            "",
+            seat.address,
+            seat.zone,
+            "",
+            (),
+            Resources(0, 0, 0),
+            0,
+        )
+        now = self.now()
+        self.fleet.inherit(report, self.durations.lease_ms, now)
+        record = self.store.job_by_id[name.job_id]
+        step = record.job.steps[name.step]
+        key = name.unit(step.gang)
+        track = RunTrack(name, run, key, step, RunState.INHERITED, now)
+        session = self._session(self.fleet.by_id[seat.upstream_id])
+        session.add(track)
+        unit = record.units[key]
+        broken = any(one.end not in (None, TaskEnd.DONE) for one in unit.seats)
+        if not record.live() or broken:
+            session.stop(track, "job has ended" if not broken else "gang is broken")
+
+    def _session(self, upstream: Upstream) -> UpstreamSession:
+        upstream_id = upstream.report.upstream_id
+        session = self._session_by_id.get(upstream_id)
+        if session is None:
+            session = UpstreamSession(self, upstream)
+            self._session_by_id[upstream_id] = session
+        return session
+
+    # Reports of upstreams.
+
+    def observe(self, report: UpstreamReport) -> None:
+        """Take a report of an upstream."""
+        was_leaving = self._is_leaving(report.upstream_id)
+        upstream, new = self.fleet.observe(report, self.now())
+        if new:
+            self.log.info(
+                "upstream appears",
+                upstream=report.upstream_id,
+                incarnation=report.incarnation,
+                zone=report.zone,
+                rack=report.rack,
+                service=report.service,
+            )
+            session = self._session_by_id.get(report.upstream_id)
+            if session is not None:
+                session.replace_incarnation(upstream)
+        if upstream.report.leaving and not was_leaving:
+            self.log.info(
+                "upstream leaves",
+                upstream=report.upstream_id,
+                remaining_ms=report.remaining_ms,
+            )
+            self._empty(upstream)
+        self.kick()
+
+    def _is_leaving(self, upstream_id: str) -> bool:
+        known = self.fleet.by_id.get(upstream_id)
+        return known is not None and known.report.leaving
+
+    def _empty(self, upstream: Upstream) -> None:
+        """Stop what can go on elsewhere from a checkpoint."""
+        session = self._session_by_id.get(upstream.report.upstream_id)
+        if session is None:
+            return
+        for track in list(session.track_by_run.values()):
+            if track.step.checkpoints:
+                self._stop_run(track.key, track.run, "upstream leaves")
+
+    async def depart(self, upstream_id: str) -> None:
+        """Take the word of a leaving upstream that it has ended."""
+        upstream = self.fleet.by_id.get(upstream_id)
+        if upstream is None or not upstream.report.leaving:
+            return
+        upstream.gone = True
+        self.log.info("upstream left", upstream=upstream_id)
+        session = self._session_by_id.get(upstream_id)
+        if session is not None:
+            await session.lose_all("upstream left")
+
+    # What sessions ask and tell.
+
+    def unit(self, track: RunTrack) -> Unit | None:
+        """Return the unit of a run if the run is still wanted."""
+        record = self.store.job_by_id.get(track.name.job_id)
+        if record is None or not record.live():
+            return None
+        unit = record.units[track.key]
+        return unit if unit.run == track.run else None
+
+    def payload(self, track: RunTrack) -> str:
+        """Return what the caller sent for the tasks of the job."""
+        return self.store.job_by_id[track.name.job_id].job.payload
+
+    def note_started(self, track: RunTrack, upstream: Upstream, took_s: float) -> None:
+        """Log the begin of a run."""
+        self._count("started")
+        self.log.info(
+            "run started",
+            job=track.name.job_id,
+            task=".".join(map(str, track.name[1:])),
+            run=track.run,
+            upstream=upstream.report.upstream_id,
+            took_ms=int(took_s * 1_000),
+        )
+
+    def note_stale_fence(self, upstream: Upstream) -> None:
+        """Log that another leader has given orders since."""
+        self._count("stale_fence")
+        self.log.warning("fence refused", upstream=upstream.report.upstream_id)
+
+    def _count(self, name: str, by: int = 1) -> None:
+        self.counts[name] = self.counts.get(name, 0) + by
+
+    async def record_ends(self, session: UpstreamSession, ends: list[RunEnd]) -> None:
+        """Commit ends, then act on them."""
+        await self._propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
+        upstream_id = session.upstream.report.upstream_id
+        for end in ends:
+            name = RunName(end.key.job_id, end.key.occurrence, end.key.step, end.task)
+            track = session.track_by_run.pop((name, end.run), None)
+            if track is None:
+                continue
+            self._note_end(track, end, upstream_id)
+            self._stop_rest(end)
+        self.kick()
+
+    def _note_end(self, track: RunTrack, end: RunEnd, upstream_id: str) -> None:
+        now = self.now()
+        self._count(f"ended_{end.end}")
+        record = self.store.job_by_id.get(end.key.job_id)
+        self.log.info(
+            "run ended",
+            job=end.key.job_id,
+            task=".".join(map(str, track.name[1:])),
+            run=end.run,
+            upstream=upstream_id,
+            end=str(end.end),
+            reason=track.stop_reason,
+            saved=bool(end.checkpoint),
+            state=str(record.state()) if record is not None else "unknown",
+        )
+        if end.end == TaskEnd.DONE:
+            self._health.note_success(upstream_id)
+            began = track.began_at
+            if record is not None and began is not None and not track.checkpoint:
+                self._times.observe(record.job.route, (now - began) * 1_000)
+        if end.end == TaskEnd.FAILED:
+            pause = self._health.note_failure(upstream_id, end.key.job_id)
+            upstream = self.fleet.by_id.get(upstream_id)
+            if pause and upstream is not None:
+                upstream.avoid_until = now + pause
+                self.log.warning(
+                    "upstream avoided", upstream=upstream_id, pause_s=pause
+                )
+
+    def _stop_rest(self, end: RunEnd) -> None:
+        """Stop what makes no sense without the task that ended."""
+        record = self.store.job_by_id.get(end.key.job_id)
+        if record is None:
+            return
+        if record.failed or record.cancelled:
+            self.stop_job(end.key.job_id, str(record.state()))
+            return
+        if end.end != TaskEnd.DONE and record.step_of(end.key).gang:
+            self._stop_run(end.key, end.run, "gang is broken")
+
+    def stop_job(self, job_id: str, reason: str) -> None:
+        """Stop all runs of a job."""
+        record = self.store.job_by_id.get(job_id)
+        if record is None:
+            return
+        for key, unit in record.units.items():
+            if unit.seats:
+                self._stop_run(key, unit.run, reason)
+
+    def _stop_run(self, key: UnitKey, run: int, reason: str) -> None:
+        unit = self.store.job_by_id[key.job_id].units[key]
+        if unit.run != run:
+            return
+        for one in unit.seats:
+            session = self._session_by_id.get(one.seat.upstream_id)
+            if one.end is not None or session is None:
+                continue
+            name = RunName(key.job_id, key.occurrence, key.step, one.seat.task)
+            track = session.track_by_run.get((name, run))
+            if track is not None:
+                session.stop(track, reason)
+
+    def consider_progress(self, session: UpstreamSession) -> None:
+        """Look for runs that stand still on an upstream."""
+
+    # Planning.
+
+    def kick(self) -> None:
+        """Plan again soon."""
+        self._kick.set()
+
+    async def commit(self, command: Command) -> Any:
+        """Commit a command of a caller or an operator, then plan again."""
+        result = await self._propose(command)
+        self.kick()
+        return result
+
+    async def _plan_loop(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self._kick.wait(), self._replan_s())
+            except TimeoutError:
+                pass
+            await asyncio.sleep(_GATHER_S)
+            self._kick.clear()
+            if not self.leads():
+                return
+            await self._plan()
+
+    def _replan_s(self) -> float:
+        due = self._planner.next_due_ms
+        if due is None:
+            return _REPLAN_S
+        return min(_REPLAN_S, max(0.01, due / 1_000 - time.time()))
+
+    async def _plan(self) -> None:
+        runs = self._live_runs()
+        plan = self._planner.plan(self.now(), int(time.time() * 1_000), runs)
+        for preemption in plan.preemptions:
+            self._preempt(preemption)
+        if not plan.placements:
+            return
+        await self._propose(PlaceRuns(tuple(plan.placements)))
+        for placement in plan.placements:
+            self._begin(placement)
+
+    def _live_runs(self) -> dict[tuple[UnitKey, int], LiveRun]:
+        """Return the state of each run: the worst of its tasks counts."""
+        runs: dict[tuple[UnitKey, int], LiveRun] = {}
+        now = self.now()
+        for session in self._session_by_id.values():
+            for track in session.track_by_run.values():
+                place = (track.key, track.run)
+                known = runs.get(place, LiveRun(False, 0.0))
+                runs[place] = LiveRun(
+                    known.stopping or track.state == RunState.STOPPING,
+                    max(known.worked_s, track.unsaved_s(now)),
+                )
+        return runs
+
+    def _preempt(self, preemption: Preemption) -> None:
+        self._count("preempted")
+        reason = f"room for {preemption.for_unit.job_id}"
+        self._stop_run(preemption.key, preemption.run, reason)
+
+    def _begin(self, placement: Placement) -> None:
+        """Start a run whose placement is committed."""
+        key = placement.key
+        record = self.store.job_by_id.get(key.job_id)
+        if record is None or record.units[key].run != placement.run:
+            return
+        if not record.units[key].seats:
+            return
+        now = self.now()
+        step = record.step_of(key)
+        self.log.info(
+            "run placed",
+            job=key.job_id,
+            unit=".".join(map(str, key[1:])),
+            run=placement.run,
+            upstreams=[seat.upstream_id for seat in placement.seats],
+            version=self._version(),
+        )
+        for seat in placement.seats:
+            upstream = self.fleet.by_id[seat.upstream_id]
+            name = RunName(key.job_id, key.occurrence, key.step, seat.task)
+            track = RunTrack(name, placement.run, key, step, RunState.STARTING, now)
+            session = self._session(upstream)
+            if upstream.report.incarnation != seat.incarnation:
+                # It restarted while the placement was being committed.
+                track.state = RunState.RUNNING
+                session.add(track)
+                session.stop(track, "upstream restarted")
+                continue
+            session.add(track)
+        if not record.live():
+            self._stop_run(key, placement.run, "job has ended")
+
+    def _version(self) -> int:
+        configuration = self.store.configuration
+        return configuration.version if configuration is not None else 0
+
+    # Expiry.
+
+    async def _expiry_loop(self) -> None:
+        while True:
+            await asyncio.sleep(_EXPIRY_S)
+            if not self.leads():
+                return
+            before = int(time.time() * 1_000) - self.durations.retention_ms
+            expired = []
+            for record in self.store.job_by_id.values():
+                if not record.ended_ms or record.ended_ms > before:
+                    continue
+                if any(unit.seats for unit in record.units.values()):
+                    continue
+                expired.append(record.job.job_id)
+            if expired:
+                await self._propose(ExpireJobs(tuple(expired[:_EXPIRE_AT_ONCE])))
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
@@ -0,0 +1,107 @@
+"""Settings of the job roles: one TOML file for each process."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from persimmonyard.model import ResultCode, UserError
+
+__all__ = ["BoundSettings", "JobSettings", "load_job_settings"]
+
+ROLES = ("job-entry", "job-control")
+
+
+class ProcessSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Name, role and availability zone of the process."""
+
+    name: str
+    role: str
+    zone: str
+    log_level: str = "info"
+
+
+class AddressSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the process listens, as "IP:PORT"; empty where it does not.
+
+    ``peers`` is the first port for calls between the project's own processes;
+    it is the same on all instances.
+    """
+
+    ip: str
+    peer_port: int
+    callers: str = ""
+    readiness: str = ""
+    control: str = ""
+    metrics_port: int = 0
+
+
+class GroupSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """How control processes find each other.
+
+    ``seeds`` are control addresses; ``first_start`` is true only while a new
+    deployment starts with empty disks.
+    """
+
+    seeds: list[str]
+    first_start: bool
+    data_folder: str = ""
+
+
+class BoundSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Bounds that the platform states."""
+
+    longest_lease_ms: int
+    gang_patience_ms: int
+    stop_ms: int
+    state_kept_s: float
+    heartbeat_ms: int
+    stop_grace_s: float
+    contact_ms: int
+
+
+class JobSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """All settings of one process."""
+
+    process: ProcessSettings
+    addresses: AddressSettings
+    group: GroupSettings
+    bounds: BoundSettings
+
+
+def load_job_settings(path: Path) -> JobSettings:
+    """Return the checked settings in the file at ``path``.
+
+    Raises ``UserError`` with code BAD_SETTING that names the key.
+    """
+    try:
+        settings = msgspec.convert(tomllib.loads(path.read_text()), JobSettings)
+    except (OSError, UnicodeDecodeError) as error:
+        raise _bad(f"cannot read settings: {error}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise _bad(f"settings are not TOML: {error}") from error
+    except msgspec.ValidationError as error:
+        raise _bad(f"settings: {error}") from error
+    _check(settings)
+    return settings
+
+
+def _check(settings: JobSettings) -> None:
+    if settings.process.role not in ROLES:
+        raise _bad(f"process.role is {settings.process.role!r}, not one of {ROLES}")
+    if not settings.group.seeds:
+        raise _bad("group.seeds is empty; give the control addresses")
+    control = settings.process.role == "job-control"
+    if control and not settings.group.data_folder:
+        raise _bad("group.data_folder is empty; control processes keep data")
+    if control and not settings.addresses.control:
+        raise _bad("addresses.control is empty; give IP:PORT")
+    if not control and not settings.addresses.callers:
+        raise _bad("addresses.callers is empty; give IP:PORT")
+    for name, value in msgspec.structs.asdict(settings.bounds).items():
+        if value <= 0:
+            raise _bad(f"bounds.{name} is {value}; give a number above 0")
+
+
+def _bad(message: str) -> UserError:
+    return UserError(ResultCode.BAD_SETTING, message)
--- a/packages/daemon/src/persimmonyard/daemon/main.py
+++ b/packages/daemon/src/persimmonyard/daemon/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Protocol
 
@@ -13,7 +14,7 @@
 from persimmonyard.model import ResultCode, UserError
 from persimmonyard.replication import initialize
 
-__all__ = ["run"]
+__all__ = ["Role", "run", "serve_role"]
 
 EXIT_FAILED = 3
 
@@ -44,19 +45,26 @@
     return ControlProcess(settings)
 
 
-async def _serve(settings: Settings) -> int:
-    """Serve until a signal or a failure; return the exit status."""
+async def serve_role(build: Callable[[], Role], name: str) -> int:
+    """Serve until a signal or a failure; return the exit status.
+
+    ``build`` is called in the event loop.  A role with a method ``reload`` is
+    told of SIGHUP.
+    """
     logger = get_logger("daemon")
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    role = _build(settings)
+    role = build()
+    reload = getattr(role, "reload", None)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     failure: asyncio.Future[int] | None = getattr(role, "failure", None)
     if failure is not None:
         failure.add_done_callback(lambda _: stop.set())
     await role.start()
-    logger.info("started", role=settings.process.role)
+    logger.info("started", role=name)
     await stop.wait()
     logger.info("stopping")
     await role.stop()
@@ -81,7 +89,7 @@
         raise UserError(ResultCode.BAD_SETTING, "give the file with --settings FILE")
     loaded = load_settings(settings)
     set_up_logs(loaded.log.level, loaded.process.name, loaded.process.zone)
-    sys.exit(asyncio.run(_serve(loaded)))
+    sys.exit(asyncio.run(serve_role(lambda: _build(loaded), loaded.process.role)))
 
 
 @app.command()
--- /dev/null
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -0,0 +1,82 @@
+"""Jobs of several steps: replicated state, placement and leases."""
+
+from persimmonyard.jobs.commands import (
+    CancelJob,
+    Command,
+    EndRuns,
+    ExpireJobs,
+    Placement,
+    PlaceRuns,
+    PutConfiguration,
+    RunEnd,
+    Seat,
+    SetZone,
+    SubmitJob,
+    decode_command,
+    encode_command,
+)
+from persimmonyard.jobs.configuration import (
+    AccountSpec,
+    JobConfiguration,
+    Limits,
+    Route,
+    ServiceSpec,
+    configuration_problem,
+)
+from persimmonyard.jobs.fleet import Fleet, Upstream, UpstreamReport
+from persimmonyard.jobs.health import UpstreamHealth
+from persimmonyard.jobs.history import RunTimes
+from persimmonyard.jobs.model import (
+    GANG,
+    Job,
+    JobState,
+    RunName,
+    Step,
+    TaskEnd,
+    UnitKey,
+)
+from persimmonyard.jobs.planner import LiveRun, Plan, Planner, Preemption
+from persimmonyard.jobs.store import JobRecord, JobStore, SeatRecord, Unit, UnitStatus
+
+__all__ = [
+    "GANG",
+    "AccountSpec",
+    "CancelJob",
+    "Command",
+    "EndRuns",
+    "ExpireJobs",
+    "Fleet",
+    "Job",
+    "JobConfiguration",
+    "JobRecord",
+    "JobState",
+    "JobStore",
+    "Limits",
+    "LiveRun",
+    "PlaceRuns",
+    "Placement",
+    "Plan",
+    "Planner",
+    "Preemption",
+    "PutConfiguration",
+    "Route",
+    "RunEnd",
+    "RunName",
+    "RunTimes",
+    "Seat",
+    "SeatRecord",
+    "ServiceSpec",
+    "SetZone",
+    "Step",
+    "SubmitJob",
+    "TaskEnd",
+    "Unit",
+    "UnitKey",
+    "UnitStatus",
+    "Upstream",
+    "UpstreamHealth",
+    "UpstreamReport",
+    "configuration_problem",
+    "decode_command",
+    "encode_command",
+]
--- a/packages/replication/src/persimmonyard/replication/__init__.py
+++ b/packages/replication/src/persimmonyard/replication/__init__.py
@@ -24,7 +24,7 @@
     encode_batch,
     payload_bytes,
 )
-from persimmonyard.replication.replica import Replica
+from persimmonyard.replication.replica import Replica, steady_now
 
 __all__ = [
     "LOG_DAMAGED",
@@ -48,4 +48,5 @@
     "encode_batch",
     "initialize",
     "payload_bytes",
+    "steady_now",
 ]
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -48,13 +48,22 @@
 )
 from persimmonyard.replication.messages import Chunk, EntryKind, Message, SnapshotMeta
 
-__all__ = ["Replica"]
+__all__ = ["Replica", "steady_now"]
 
 MAX_PROPOSALS_IN_FLIGHT = 4_096
 SNAPSHOT_AFTER_BYTES = 16 << 20
 TRANSFER_WAIT_S = 2.0
 
 
+def steady_now() -> float:
+    """Return the steady clock in seconds.
+
+    Unlike the event loop's clock it counts the time for which the instance
+    was suspended, so that a lease ends meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class _Proposal(NamedTuple):
     entry: bytes
     future: asyncio.Future
@@ -90,6 +99,7 @@
         self._waiting_by_index: dict[int, _Waiting] = {}
         self._changes: list[Write | Rewrite] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_deadline = 0.0
         self._disk_thread = ThreadPoolExecutor(1, "replica-disk")
         self._tasks: set[asyncio.Task] = set()
         self._bytes_since_snapshot = 0
@@ -115,7 +125,7 @@
             self._snapshot_bytes = len(loaded.snapshot)
         incarnation = loaded.identity.incarnation
         config = replace(self._config, incarnation=incarnation)
-        self._core = ReplicaCore(config, loaded.state, time.monotonic())
+        self._core = ReplicaCore(config, loaded.state, steady_now())
         for entry in loaded.state.entries:
             self._bytes_since_snapshot += len(entry.data)
         self._members = self._core.members
@@ -142,8 +152,8 @@
         own = self._config.replica_id
         if len(core.members.voters) < 2:
             return
-        deadline = time.monotonic() + TRANSFER_WAIT_S
-        while time.monotonic() < deadline:
+        deadline = steady_now() + TRANSFER_WAIT_S
+        while steady_now() < deadline:
             if core.role != Role.LEADER and core.leader not in ("", own):
                 return
             await asyncio.sleep(0.01)
@@ -160,7 +170,7 @@
         """Return whether this replica leads under a valid quorum lease."""
         if self._core is None or self._stopped:
             return False
-        return self._core.leads(time.monotonic())
+        return self._core.leads(steady_now())
 
     def leader_hint(self) -> str:
         """Return the identity of the replica that probably leads."""
@@ -242,7 +252,7 @@
         core = self._core
         if core is None or self._stopped:
             return
-        actions = core.step(event, time.monotonic())
+        actions = core.step(event, steady_now())
         for action in actions:
             self._carry_out(action)
         if core.members is not self._members:
@@ -256,10 +266,12 @@
         if self._timer is not None:
             # A deadline moves back with every heartbeat; an early tick is
             # cheaper than a new timer each time.
-            if self._timer.when() <= deadline:
+            if self._timer_deadline <= deadline:
                 return
             self._timer.cancel()
-        self._timer = self._loop.call_at(deadline, self._tick)
+        self._timer_deadline = deadline
+        delay = max(0.0, deadline - steady_now())
+        self._timer = self._loop.call_later(delay, self._tick)
 
     def _tick(self) -> None:
         self._timer = None
