--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOLS := .tools
 UV := $(TOOLS)/bin/uv
 PYTHON := .venv/bin/python
-PATHS := packages test bench
+PATHS := packages platform test bench
 
 .PHONY: setup test lint format types demo bench generate
 
@@ -22,7 +22,7 @@
 	.venv/bin/ruff check $(PATHS)
 
 types: setup
-	MYPYPATH=$$(echo packages/*/src | tr ' ' ':') .venv/bin/mypy packages/*/src
+	MYPYPATH=$$(echo packages/*/src platform/src | tr ' ' ':') .venv/bin/mypy packages/*/src platform/src
 
 test: setup
 	$(PYTHON) test/run.py
--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -15,8 +15,8 @@
 from persimmonyard.daemon.jobs.calls import (
     Call,
     CallReply,
-    Join,
     JobCall,
+    Join,
     Outcome,
     call_handler,
 )
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -1,4 +1,4 @@
-"""The entry role of the job service: it passes callers' calls to the leader."""
+"""The entry role of the job service: it passes calls to the leader."""
 
 import asyncio
 from collections.abc import Callable
--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -49,9 +49,7 @@
     where that is stated.
     """
 
-    def __init__(
-        self, store: JobStore, leadership: Callable[[], Leadership | None]
-    ):
+    def __init__(self, store: JobStore, leadership: Callable[[], Leadership | None]):
         self._store = store
         self._leadership = leadership
         self._log = get_logger("service")
@@ -91,9 +89,7 @@
         if isinstance(caller, CallReply):
             return caller
         if call.verb == Verb.COUNT:
-            return CallReply(
-                Outcome.OK, count=self._store.pending(caller.route.name)
-            )
+            return CallReply(Outcome.OK, count=self._store.pending(caller.route.name))
         job_id = job_identifier(caller.tail)
         if job_id is None:
             return CallReply(Outcome.NO_ROUTE, detail="not a job identifier")
@@ -186,4 +182,3 @@
         """Take an availability zone out of service or back."""
         await self.lead().commit(SetZone(zone, out))
         self._log.info("zone changed", zone=zone, out=out)
-
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -126,9 +126,7 @@
             self._drop(address, channel, error)
             return None
 
-    def _drop(
-        self, address: str, channel: grpc.aio.Channel, error: Exception
-    ) -> None:
+    def _drop(self, address: str, channel: grpc.aio.Channel, error: Exception) -> None:
         """Use a new connection next time: the old one may be silent."""
         if self._channel_by_address.get(address) is channel:
             del self._channel_by_address[address]
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -1,6 +1,7 @@
 """One term of the control leader: it plans, starts and supervises runs."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -337,10 +338,8 @@
 
     async def _plan_loop(self) -> None:
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._kick.wait(), self._replan_s())
-            except TimeoutError:
-                pass
             await asyncio.sleep(_GATHER_S)
             self._kick.clear()
             if not self.leads():
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -25,6 +25,9 @@
 _LONGEST_RETRY_S = 0.5
 # How long an upstream gets no work after it refused some, in seconds.
 _REFUSAL_PAUSE_S = 2.0
+# How long an upstream gets no work after a look without an answer; while it
+# stays silent, looks follow each other faster, in seconds.
+_SILENCE_PAUSE_S = 1.5
 # A look for ends that only acknowledges waits this long for new work first.
 _ACKNOWLEDGE_AFTER_S = 0.3
 
@@ -136,9 +139,10 @@
         for track in self.track_by_run.values():
             if track.state == RunState.INHERITED:
                 return 0
-            if track.state == RunState.STOPPING and track.settled_at is not None:
-                if track.began_at is None:
-                    return 0
+            if track.state != RunState.STOPPING or track.settled_at is None:
+                continue
+            if track.began_at is None:
+                return 0
         return self._lead.durations.wait_ms
 
     async def _look(self, wait_ms: int) -> None:
@@ -147,7 +151,9 @@
         upstream = self.upstream
         sent_at = lead.now()
         until_ms = 0
-        if upstream.clock_known and self.track_by_run:
+        # A renewal that gets no answer may have been carried out, so one that
+        # follows silence only looks: otherwise the lease would never end.
+        if upstream.clock_known and self.track_by_run and not self._misses:
             until_ms = upstream.grant(lead.durations.lease_ms, sent_at)
         seen = self._seen
         try:
@@ -183,7 +189,11 @@
                 upstream=self.upstream.report.upstream_id,
                 error=error,
             )
-        if self.upstream.lapsed(self._lead.now()):
+        now = self._lead.now()
+        self.upstream.avoid_until = max(
+            self.upstream.avoid_until, now + _SILENCE_PAUSE_S
+        )
+        if self.upstream.lapsed(now):
             await self.lose_all("every lease has ended")
 
     async def _note_refused_look(self, reply: OrderReply) -> None:
@@ -221,8 +231,8 @@
                     ends.append(end)
         if ends:
             await self._lead.record_ends(self, ends)
-        for row in listing.ended:
-            self._seen = max(self._seen, row.number)
+        for ended in listing.ended:
+            self._seen = max(self._seen, ended.number)
         self._lead.consider_progress(self)
 
     def _ends(
--- a/packages/jobs/src/persimmonyard/jobs/configuration.py
+++ b/packages/jobs/src/persimmonyard/jobs/configuration.py
@@ -32,7 +32,7 @@
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
-    """A pool of upstreams; ``guards`` says that they refuse what is too big."""
+    """A pool of upstreams; ``guards``: they refuse what is too big."""
 
     name: str
     guards: bool = False
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -133,7 +133,7 @@
         return now - upstream.heard_at <= self._fresh_s
 
     def forget(self, silent_s: float, keep: set[str], now: float) -> list[str]:
-        """Drop upstreams that were silent for long; return their identities."""
+        """Drop upstreams that were silent for long; return their names."""
         dropped = []
         for upstream_id, upstream in list(self.by_id.items()):
             if upstream_id in keep or now - upstream.heard_at < silent_s:
--- a/packages/jobs/src/persimmonyard/jobs/model.py
+++ b/packages/jobs/src/persimmonyard/jobs/model.py
@@ -9,7 +9,7 @@
 
 __all__ = ["GANG", "Job", "JobState", "RunName", "Step", "TaskEnd", "UnitKey"]
 
-# Index of the unit that stands for all tasks of a gang.
+# Task number of the unit that stands for all tasks of a gang.
 GANG = -1
 
 
@@ -100,7 +100,7 @@
     job_id: str
     occurrence: int
     step: int
-    index: int
+    task: int
 
 
 class RunName(NamedTuple):
@@ -113,5 +113,5 @@
 
     def unit(self, gang: bool) -> UnitKey:
         """Return the unit that the task belongs to."""
-        index = GANG if gang else self.task
-        return UnitKey(self.job_id, self.occurrence, self.step, index)
+        task = GANG if gang else self.task
+        return UnitKey(self.job_id, self.occurrence, self.step, task)
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -97,6 +97,7 @@
         self._store = store
         self._fleet = fleet
         self._times = times
+        self._counts_by_step: dict[tuple[str, int, int], dict[str, int]] = {}
         self.next_due_ms: int | None = None
 
     def plan(
@@ -109,6 +110,7 @@
         if configuration is None or not waits:
             return plan
         rooms = self._rooms(runs, now)
+        self._counts_by_step = {}
         owed = _Owed(self._store, configuration)
         held = 0
         misfits: set[tuple] = set()
@@ -225,7 +227,7 @@
 
     def _seat(self, wait: _Wait, step: Step, candidates: list[_Room]) -> list[Seat]:
         """Return a seat for each task of the unit, or nothing."""
-        tasks = range(step.count) if wait.key.index == GANG else [wait.key.index]
+        tasks = range(step.count) if wait.key.task == GANG else [wait.key.task]
         patience_s = _NEAR_PATIENCE * self._times.task_ms(wait.record.job, step) / _MS
         for group, near in self._groups(step, candidates, len(tasks)):
             if not near and wait.waited_s < patience_s:
@@ -273,9 +275,10 @@
                 if best is None or rank < best[0]:
                     best = (rank, room)
             if best is None:
-                for room, _ in taken:
+                for room, seat in taken:
                     room.free = room.free.plus(needs)
                     room.soon = room.soon.plus(needs)
+                    count_by_id[seat.upstream_id] -= 1
                 return []
             room = best[1]
             report = room.upstream.report
@@ -293,10 +296,14 @@
         return [seat for _, seat in taken]
 
     def _step_counts(self, key: UnitKey, step: Step) -> dict[str, int]:
-        """Return how many tasks of the step each upstream runs."""
-        counts: dict[str, int] = {}
+        """Return how many tasks of the step each upstream has by now."""
         if not step.per_upstream:
+            return {}
+        place = (key.job_id, key.occurrence, key.step)
+        counts = self._counts_by_step.get(place)
+        if counts is not None:
             return counts
+        counts = self._counts_by_step[place] = {}
         record = self._store.job_by_id[key.job_id]
         for other, unit in record.units.items():
             if (other.occurrence, other.step) != (key.occurrence, key.step):
@@ -335,13 +342,11 @@
         if wait.route.priority != 0:
             return False
         guaranteed = owed.covers(wait.record)
-        tasks = step.count if wait.key.index == GANG else 1
+        tasks = step.count if wait.key.task == GANG else 1
         victims_by_id: dict[str, list[_Victim]] = {}
         for room in candidates:
             upstream_id = room.upstream.report.upstream_id
-            victims_by_id[upstream_id] = self._victims(
-                room, guaranteed, runs, owed
-            )
+            victims_by_id[upstream_id] = self._victims(room, guaranteed, runs, owed)
         best: _Reservation | None = None
         for group, near in self._groups(step, candidates, tasks):
             if best is not None and not near:
@@ -510,5 +515,3 @@
     for step in record.job.steps:
         peak = max(peak, step.count * step.needs.accelerators)
     return peak
-
-
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -20,7 +20,15 @@
     decode_command,
 )
 from persimmonyard.jobs.configuration import JobConfiguration, Route
-from persimmonyard.jobs.model import GANG, Job, JobState, RunName, Step, TaskEnd, UnitKey
+from persimmonyard.jobs.model import (
+    GANG,
+    Job,
+    JobState,
+    RunName,
+    Step,
+    TaskEnd,
+    UnitKey,
+)
 
 __all__ = ["JobRecord", "JobStore", "SeatRecord", "Unit", "UnitStatus"]
 
--- /dev/null
+++ b/test/daemon/jobs/test_leadership.py
@@ -0,0 +1,223 @@
+"""Tests of one term of a leader against upstreams in memory."""
+
+import asyncio
+import unittest
+
+from persimmonyard.daemon.jobs.port import OrderResult
+from persimmonyard.jobs import CancelJob, JobState, SubmitJob, TaskEnd
+from test.daemon.jobs.fakes import FakePort, Term, until
+from test.jobs.fixtures import JOB_ID, job, step
+
+
+class LeadershipTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.port = FakePort()
+        self.upstream = self.port.add("u1")
+        self.term = Term(self.port)
+        self.term.lead.start()
+        self.addCleanup(self.term.lead.close)
+
+    async def submit(self, *steps, **fields):
+        await self.term.lead.commit(SubmitJob(job(*steps, **fields)))
+        return self.term.store.job_by_id[fields.get("job_id", JOB_ID)]
+
+    async def started(self, count=1):
+        await until(lambda: len(self.upstream.started) >= count)
+        return self.upstream.started[count - 1][0]
+
+    async def test_job_runs_and_its_end_is_acknowledged(self):
+        """Guards against ends that upstreams list for ever."""
+        self.term.report("u1")
+        record = await self.submit(step())
+        name = await self.started()
+        await until(lambda: record.state() == JobState.RUNNING)
+        self.upstream.end(name, TaskEnd.DONE)
+        await until(lambda: record.state() == JobState.COMPLETED)
+        await until(lambda: self.upstream.seen == 1)
+
+    async def test_end_is_committed_before_it_is_acknowledged(self):
+        """Guards against an end that is forgotten before it is stored."""
+        self.term.report("u1")
+        await self.submit(step())
+        name = await self.started()
+        held = asyncio.Event()
+        propose = self.term.lead._propose
+
+        async def slow(command):
+            await held.wait()
+            return await propose(command)
+
+        self.term.lead._propose = slow
+        self.upstream.end(name, TaskEnd.DONE)
+        await asyncio.sleep(0.5)
+        self.assertEqual(0, self.upstream.seen)
+        held.set()
+        await until(lambda: self.upstream.seen == 1)
+
+    async def test_start_without_an_answer_is_sent_again(self):
+        """Guards against a task that waits for an answer that never comes."""
+        self.term.report("u1")
+        self.port.late.add("u1")
+        await self.submit(step())
+        await until(lambda: self.port.kept)
+        self.port.late.clear()
+        await self.started()
+        upstream, order = self.port.kept[0]
+        # The first start arrives after the task has ended.
+        self.upstream.end(order.name, TaskEnd.DONE)
+        self.assertEqual(OrderResult.OLD_RUN, upstream.start(order))
+
+    async def test_given_up_start_cannot_run_later(self):
+        """Guards against two runs when a lost start arrives late."""
+        self.term.report("u1")
+        other = self.port.add("u2")
+        self.port.late.add("u1")
+        await self.submit(step())
+        await until(lambda: self.port.kept)
+        self.term.report("u2")
+        await until(lambda: other.started)
+        upstream, order = self.port.kept[0]
+        self.assertEqual(OrderResult.OLD_RUN, upstream.start(order))
+        self.assertEqual(2, other.started[0][1])
+
+    async def test_silent_upstream_keeps_its_runs_until_the_lease_ends(self):
+        """Guards against a second run while the first holds a lease."""
+        self.term.report("u1")
+        other = self.port.add("u2")
+        await self.submit(step())
+        await self.started()
+        await until(lambda: len(self.upstream.leases) > 1)
+        self.port.silent.add("u1")
+        silent_at = asyncio.get_running_loop().time()
+        self.term.report("u2")
+        await until(lambda: other.started)
+        waited_s = asyncio.get_running_loop().time() - silent_at
+        # The last lease was granted at most one wait before the silence.
+        self.assertGreater(waited_s, 2.0 - 0.2 - 0.2)
+
+    async def test_restarted_upstream_loses_its_runs_at_once(self):
+        """Guards against waiting for leases of an incarnation that ended."""
+        self.term.report("u1")
+        record = await self.submit(step())
+        await self.started()
+        self.upstream = self.port.add("u1")
+        self.upstream.incarnation = 2
+        self.term.report("u1", incarnation=2)
+        await until(lambda: self.upstream.started)
+        self.assertEqual(2, self.upstream.started[0][1])
+        self.assertEqual(JobState.RUNNING, record.state())
+
+    async def test_start_that_reaches_a_new_incarnation_is_stopped(self):
+        """Guards against a run of an old placement on a restarted upstream."""
+        self.term.report("u1")
+        self.port.late.add("u1")
+        await self.submit(step())
+        await until(lambda: self.port.kept)
+        fresh = self.port.add("u1")
+        fresh.incarnation = 2
+        _, order = self.port.kept[0]
+        fresh.start(order)
+        self.port.late.clear()
+        self.term.report("u1", incarnation=2)
+        await until(lambda: len(fresh.started) == 2)
+        self.assertEqual({order.name: 2}, fresh.running)
+
+    async def test_cancelled_job_is_stopped(self):
+        """Guards against work that goes on after a cancellation."""
+        self.term.report("u1")
+        await self.submit(step(2))
+        await self.started(2)
+        await self.term.lead.commit(CancelJob(JOB_ID, 1))
+        self.term.lead.stop_job(JOB_ID, "cancelled")
+        await until(lambda: not self.upstream.running)
+        await until(lambda: not self.term.store.seats_by_upstream)
+
+    async def test_broken_gang_is_stopped_and_runs_again(self):
+        """Guards against members that wait for one that failed."""
+        self.term.report("u1")
+        await self.submit(step(2, gang=True))
+        name = await self.started(2)
+        self.upstream.end(name, TaskEnd.FAILED)
+        await self.started(4)
+        runs = {run for _, run, _ in self.upstream.started[2:]}
+        self.assertEqual({2}, runs)
+
+    async def test_refused_start_is_placed_again(self):
+        """Guards against a task that is lost by a refusal."""
+        self.term.report("u1")
+        other = self.port.add("u2")
+        self.port.refuse = OrderResult.UNHEALTHY
+        await self.submit(step())
+        await until(lambda: not self.term.store.seats_by_upstream)
+        self.port.refuse = None
+        self.term.report("u2")
+        await until(lambda: other.started)
+
+    async def test_departed_upstream_loses_its_runs(self):
+        """Guards against waiting for leases of an upstream that has ended."""
+        self.term.report("u1")
+        other = self.port.add("u2")
+        await self.submit(step())
+        await self.started()
+        self.term.report("u1", sequence=2, leaving=True)
+        self.term.report("u2")
+        await self.term.lead.depart("u1")
+        await until(lambda: other.started)
+
+
+class TakeOverTests(unittest.IsolatedAsyncioTestCase):
+    async def take_over(self, port, store):
+        term = Term(port, store, fence=2)
+        term.lead.start()
+        self.addCleanup(term.lead.close)
+        return term
+
+    async def first_term(self, port):
+        term = Term(port)
+        term.lead.start()
+        term.report("u1")
+        await term.lead.commit(SubmitJob(job(step())))
+        return term
+
+    async def test_new_leader_goes_on_with_what_runs(self):
+        """Guards against a second start of a task that runs."""
+        port = FakePort()
+        upstream = port.add("u1")
+        first = await self.first_term(port)
+        await until(lambda: upstream.started)
+        first.leading = False
+        first.lead.close()
+        second = await self.take_over(port, first.store)
+        await until(lambda: upstream.fence == 2)
+        upstream.end(upstream.started[0][0], TaskEnd.DONE)
+        record = first.store.job_by_id[JOB_ID]
+        await until(lambda: record.state() == JobState.COMPLETED)
+        self.assertEqual(1, len(upstream.started))
+        self.assertEqual(1, len(second.proposed))
+
+    async def test_new_leader_sends_starts_that_were_only_placed(self):
+        """Guards against a placement whose start was never sent."""
+        port = FakePort()
+        upstream = port.add("u1")
+        port.silent.add("u1")
+        first = await self.first_term(port)
+        await until(lambda: first.store.seats_by_upstream)
+        first.leading = False
+        first.lead.close()
+        port.silent.clear()
+        await self.take_over(port, first.store)
+        await until(lambda: upstream.started)
+        self.assertEqual(1, upstream.started[0][1])
+
+    async def test_former_leader_is_fenced(self):
+        """Guards against orders of a leader that has been replaced."""
+        port = FakePort()
+        upstream = port.add("u1")
+        first = await self.first_term(port)
+        await until(lambda: upstream.started)
+        await self.take_over(port, first.store)
+        await until(lambda: upstream.fence == 2)
+        name, run, _ = upstream.started[0]
+        reply = upstream.stop(name, run, 1)
+        self.assertEqual(OrderResult.STALE_FENCE, reply)
+        first.lead.close()
--- /dev/null
+++ b/test/jobs/test_planner.py
@@ -0,0 +1,145 @@
+"""Tests of placement: limits, racks, priorities and preemption."""
+
+import unittest
+
+from persimmonyard.jobs import LiveRun, SetZone
+from test.jobs.fixtures import World, step
+
+
+class PlacementTests(unittest.TestCase):
+    def test_limit_per_upstream_holds_within_one_plan(self):
+        """Tasks placed by one plan count towards the step's limit.
+
+        Guards against two tasks of a step on one upstream that allows one.
+        """
+        world = World()
+        world.add("u1")
+        world.add("u2")
+        world.submit(step(3, per_upstream=1))
+        plan = world.place()
+        used = [one.seats[0].upstream_id for one in plan.placements]
+        self.assertEqual(["u1", "u2"], sorted(used))
+        self.assertEqual([], world.place().placements)
+
+    def test_nothing_is_placed_beyond_capacity(self):
+        """Guards against a second plan that forgets what runs already."""
+        world = World()
+        world.add("u1", gpu=4)
+        world.submit(step(3, gpu=2))
+        self.assertEqual(2, len(world.place().placements))
+        self.assertEqual([], world.place().placements)
+
+    def test_zone_out_of_service_gets_nothing(self):
+        """Guards against starts in a zone that operators took out."""
+        world = World()
+        world.add("u1", zone="z1")
+        world.store.execute(SetZone("z1", True))
+        world.submit(step())
+        self.assertEqual([], world.place().placements)
+        world.store.execute(SetZone("z1", False))
+        self.assertEqual(1, len(world.place().placements))
+
+    def test_leaving_and_silent_upstreams_get_nothing(self):
+        """Guards against starts on upstreams that end or have ended."""
+        world = World()
+        world.add("u1", leaving=True)
+        world.add("u2")
+        world.submit(step())
+        world.now += 60.0
+        self.assertEqual([], world.place().placements)
+
+    def test_label_is_required(self):
+        """Guards against a start without the label of the step."""
+        world = World()
+        world.add("u1")
+        world.submit(step(label="b"))
+        self.assertEqual([], world.place().placements)
+
+    def test_steps_wait_for_those_they_depend_on(self):
+        """Guards against a step that starts before an earlier one is done."""
+        world = World()
+        world.add("u1")
+        world.submit(step(), step(depends_on=(0,)))
+        plan = world.place()
+        self.assertEqual([0], [one.key.step for one in plan.placements])
+
+    def test_occurrences_wait_until_they_are_due(self):
+        """Guards against a start before the due time of an occurrence."""
+        world = World()
+        world.add("u1")
+        start = 1_800_000_001_000
+        world.submit(step(), start_at_ms=start, interval_ms=500, repeat_count=3)
+        self.assertEqual([], world.place().placements)
+        plan = world.place(after_ms=1_600)
+        self.assertEqual([0, 1], sorted(one.key.occurrence for one in plan.placements))
+
+
+class GangTests(unittest.TestCase):
+    def test_gang_is_placed_whole_or_not_at_all(self):
+        """Guards against a gang of which only some members have room."""
+        world = World()
+        world.add("u1")
+        world.submit(step(2, gpu=8, gang=True))
+        self.assertEqual([], world.place().placements)
+        world.add("u2")
+        plan = world.place()
+        self.assertEqual(2, len(plan.placements[0].seats))
+
+    def test_gang_prefers_one_rack(self):
+        """Guards against a gang spread over racks that asked for one."""
+        world = World()
+        world.add("u1", rack="r1")
+        world.add("u2", rack="r2")
+        world.add("u3", rack="r2")
+        world.submit(step(2, gpu=8, gang=True, one_rack=True))
+        seats = world.place().placements[0].seats
+        self.assertEqual(["u2", "u3"], sorted(seat.upstream_id for seat in seats))
+
+    def test_gang_that_waited_long_takes_any_racks(self):
+        """Guards against a gang that starves for a rack of its own."""
+        world = World()
+        world.add("u1", rack="r1")
+        world.add("u2", rack="r2")
+        world.submit(step(2, gpu=8, gang=True, one_rack=True))
+        self.assertEqual([], world.place().placements)
+        self.assertEqual(1, len(world.place(after_ms=5_000).placements))
+
+
+class PreemptionTests(unittest.TestCase):
+    def run_normal(self, world):
+        world.submit(step(2, gpu=4), job_id="00000000000000b1")
+        for one in world.place().placements:
+            world.runs[(one.key, one.run)] = LiveRun(False, 1.0)
+
+    def test_urgent_work_within_its_guarantee_gets_room(self):
+        """Guards against guaranteed work that waits for borrowers."""
+        world = World(guaranteed=8)
+        world.add("u1")
+        self.run_normal(world)
+        world.submit(step(1, gpu=8), route="urgent")
+        plan = world.place()
+        self.assertEqual(2, len(plan.preemptions))
+        self.assertEqual([], plan.placements)
+
+    def test_room_being_made_is_not_made_twice(self):
+        """Guards against more victims while the first ones are stopping."""
+        world = World(guaranteed=8)
+        world.add("u1")
+        world.add("u2")
+        self.run_normal(world)
+        world.submit(step(2, gpu=8), job_id="00000000000000b2")
+        for one in world.place().placements:
+            world.runs[(one.key, one.run)] = LiveRun(False, 5.0)
+        world.submit(step(1, gpu=8), route="urgent")
+        for preemption in world.place().preemptions:
+            place = (preemption.key, preemption.run)
+            world.runs[place] = world.runs[place]._replace(stopping=True)
+        self.assertEqual([], world.place().preemptions)
+
+    def test_work_beyond_the_guarantee_stops_nothing_unsaved(self):
+        """Guards against work thrown away for what nobody was promised."""
+        world = World(guaranteed=0)
+        world.add("u1")
+        self.run_normal(world)
+        world.submit(step(1, gpu=8), route="urgent")
+        self.assertEqual([], world.place().preemptions)
--- /dev/null
+++ b/test/jobs/test_store.py
@@ -0,0 +1,207 @@
+"""Tests of the replicated state of jobs."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from persimmonyard.jobs import (
+    GANG,
+    CancelJob,
+    EndRuns,
+    JobState,
+    JobStore,
+    Placement,
+    PlaceRuns,
+    PutConfiguration,
+    RunEnd,
+    Seat,
+    SetZone,
+    SubmitJob,
+    TaskEnd,
+    UnitKey,
+    configuration_problem,
+)
+from test.jobs.fixtures import JOB_ID, NORMAL, configuration, job, step
+
+NOW_MS = 1_800_000_000_000
+
+
+def seat(task, upstream_id="u1"):
+    return Seat(task, upstream_id, 1, f"{upstream_id}:80", "z1")
+
+
+def place(key, run, tasks):
+    seats = tuple(seat(task) for task in tasks)
+    return PlaceRuns((Placement(key, run, seats),))
+
+
+def end(key, task, run, how, checkpoint=""):
+    return EndRuns((RunEnd(key, task, run, how, checkpoint),), NOW_MS)
+
+
+class StoreTests(unittest.TestCase):
+    def setUp(self):
+        self.store = JobStore()
+        self.store.execute(PutConfiguration(configuration()))
+
+    def submit(self, *steps, **fields):
+        self.store.execute(SubmitJob(job(*steps, **fields)))
+        return self.store.job_by_id[JOB_ID]
+
+    def test_older_configuration_changes_nothing(self):
+        """Guards against a configuration that reverts to an older version."""
+        self.store.execute(PutConfiguration(configuration(7)))
+        self.assertFalse(self.store.execute(PutConfiguration(configuration(7, 99))))
+        self.assertFalse(self.store.execute(PutConfiguration(configuration(3))))
+        self.assertEqual(7, self.store.configuration.version)
+        self.assertEqual(0, self.store.configuration.accounts[0].guaranteed)
+
+    def test_same_job_again_is_one_job(self):
+        """Guards against a resent job that forgets what has run."""
+        self.submit(step())
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        self.store.execute(place(key, 1, [0]))
+        self.assertFalse(self.store.execute(SubmitJob(job(step()))))
+        self.assertEqual([], list(self.store.waiting()))
+
+    def test_job_completes_when_every_task_is_done(self):
+        """Guards against a job shown as completed too early."""
+        record = self.submit(step(2))
+        for task in (0, 1):
+            key = UnitKey(JOB_ID, 0, 0, task)
+            self.store.execute(place(key, 1, [task]))
+            self.assertEqual(JobState.RUNNING, record.state())
+            self.store.execute(end(key, task, 1, TaskEnd.DONE))
+        self.assertEqual(JobState.COMPLETED, record.state())
+        self.assertEqual({}, self.store.seats_by_upstream)
+
+    def test_end_of_an_older_run_changes_nothing(self):
+        """Guards against a late end that frees a newer run."""
+        record = self.submit(step())
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        self.store.execute(place(key, 1, [0]))
+        self.store.execute(end(key, 0, 1, TaskEnd.LOST))
+        self.store.execute(place(key, 2, [0]))
+        self.store.execute(end(key, 0, 1, TaskEnd.DONE))
+        self.assertEqual(JobState.RUNNING, record.state())
+        self.assertEqual(1, len(self.store.seats_by_upstream["u1"]))
+
+    def test_run_numbers_never_repeat(self):
+        """Guards against two runs of a task with one number."""
+        self.submit(step())
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        self.store.execute(place(key, 1, [0]))
+        self.store.execute(end(key, 0, 1, TaskEnd.STOPPED, "c1"))
+        self.store.execute(place(key, 1, [0]))
+        self.assertEqual(1, len(list(self.store.waiting())))
+
+    def test_job_fails_after_its_attempts(self):
+        """Guards against more runs than may fail."""
+        record = self.submit(step())
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        for run in range(1, NORMAL.attempts + 1):
+            self.assertEqual(record.state() == JobState.FAILED, False)
+            self.store.execute(place(key, run, [0]))
+            self.store.execute(end(key, 0, run, TaskEnd.FAILED))
+        self.assertEqual(JobState.FAILED, record.state())
+        self.assertEqual([], list(self.store.waiting()))
+
+    def test_only_failed_ends_count_as_attempts(self):
+        """Guards against a job that fails by what happened to upstreams."""
+        record = self.submit(step())
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        ends = (TaskEnd.LOST, TaskEnd.LAPSED, TaskEnd.STOPPED, TaskEnd.REJECTED)
+        for run, how in enumerate(ends, start=1):
+            self.store.execute(place(key, run, [0]))
+            self.store.execute(end(key, 0, run, how))
+        self.assertEqual(0, record.units[key].failures)
+        self.assertEqual(1, len(list(self.store.waiting())))
+
+    def test_gang_waits_until_all_members_have_ended(self):
+        """Guards against a second run while members of the first go on."""
+        self.submit(step(2, gang=True))
+        key = UnitKey(JOB_ID, 0, 0, GANG)
+        self.store.execute(place(key, 1, [0, 1]))
+        self.store.execute(end(key, 0, 1, TaskEnd.FAILED, "c1"))
+        self.assertEqual([], list(self.store.waiting()))
+        self.store.execute(end(key, 1, 1, TaskEnd.BROKEN))
+        _, unit, _ = next(self.store.waiting())
+        self.assertEqual(("c1", 1), (unit.checkpoint, unit.failures))
+
+    def test_cancelled_job_is_not_placed(self):
+        """Guards against a start after a cancellation."""
+        record = self.submit(step(2))
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        self.store.execute(CancelJob(JOB_ID, NOW_MS))
+        self.store.execute(place(key, 1, [0]))
+        self.assertEqual({}, self.store.seats_by_upstream)
+        self.assertEqual(JobState.CANCELLED, record.state())
+
+    def test_snapshot_restores_everything(self):
+        """Guards against state that a restart would forget."""
+        self.submit(step(3), step(depends_on=(0,)))
+        first = UnitKey(JOB_ID, 0, 0, 0)
+        self.store.execute(place(first, 1, [0]))
+        second = UnitKey(JOB_ID, 0, 0, 1)
+        self.store.execute(place(second, 1, [1]))
+        self.store.execute(end(second, 1, 1, TaskEnd.DONE))
+        self.store.execute(SetZone("z2", True))
+        copy = JobStore()
+        copy.restore(self.store.snapshot())
+        self.assertEqual(self.store.job_by_id, copy.job_by_id)
+        self.assertEqual(self.store.zones_out, copy.zones_out)
+        self.assertEqual(
+            self.store.seats_by_upstream.keys(), copy.seats_by_upstream.keys()
+        )
+        self.assertEqual(
+            {key for key, _, _ in self.store.waiting()},
+            {key for key, _, _ in copy.waiting()},
+        )
+        # The restored index refers to the restored units.
+        copy.execute(end(first, 0, 1, TaskEnd.DONE))
+        self.assertEqual({}, copy.seats_by_upstream)
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from(list(TaskEnd)))))
+    def test_seats_match_the_units(self, moves):
+        """Guards against an index of seats that differs from the units."""
+        self.store = JobStore()
+        self.store.execute(PutConfiguration(configuration()))
+        record = self.submit(step(4))
+        for task, how in moves:
+            key = UnitKey(JOB_ID, 0, 0, task)
+            unit = record.units[key]
+            if unit.seats:
+                self.store.execute(end(key, task, unit.run, how))
+            else:
+                self.store.execute(place(key, unit.run + 1, [task]))
+            seats = sum(len(one) for one in self.store.seats_by_upstream.values())
+            expected = sum(len(one.seats) for one in record.units.values())
+            self.assertEqual(expected, seats)
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_longest_prefix_wins(self):
+        """Guards against a call that reaches the wrong class of work."""
+        store = JobStore()
+        store.execute(PutConfiguration(configuration()))
+        self.assertEqual("urgent", store.find_route("h.example", "/urgent/x").name)
+        self.assertIsNone(store.find_route("other.example", "/urgent/x"))
+
+    def test_invalid_configurations_are_named(self):
+        """Guards against an invalid configuration that is put in force."""
+        import msgspec
+
+        good = configuration()
+        self.assertEqual("", configuration_problem(good))
+        twice = msgspec.structs.replace(good, routes=(good.routes[0],) * 2)
+        self.assertIn("share", configuration_problem(twice))
+        no_service = msgspec.structs.replace(good, services=())
+        self.assertIn("unknown service", configuration_problem(no_service))
+        route = msgspec.structs.replace(good.routes[0], timeout_ms=0)
+        untimed = msgspec.structs.replace(good, routes=(route,))
+        self.assertIn("timeout", configuration_problem(untimed))
+        other = msgspec.structs.replace(good.accounts[0], name="other")
+        shared = msgspec.structs.replace(good, accounts=(good.accounts[0], other))
+        self.assertIn("share a key", configuration_problem(shared))
--- /dev/null
+++ b/test/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform."""
