Let a control process with an empty folder find the leader's stream

Cause: of each pair the replica with the lower name opens the stream, and a replica with an empty folder knows the seeds only. The process now learns the members from the answer to its request to join.

--- a/packages/daemon/src/persimmonyard/daemon/control/transport.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/transport.py
@@ -122,10 +122,19 @@
 
     def set_addresses(self, address_by_name: dict[str, str]) -> None:
         """Take the members' addresses; those of the settings come first."""
-        self._address_by_name = address_by_name | self._settings_address_by_name
+        self._address_by_name |= address_by_name | self._settings_address_by_name
         if self._receive is not None:
             self._open_missing()
 
+    def learn(self, address_by_name: dict[str, str]) -> None:
+        """Open streams to replicas that the log does not name yet.
+
+        A replica with an empty folder knows no members, and a member with a
+        higher name waits for it to open the stream.
+        """
+        self._settings_address_by_name |= address_by_name
+        self.set_addresses(address_by_name)
+
     # Streams that this replica opens.
 
     def _open_missing(self) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -111,7 +111,7 @@
         if self._settings.group.first_start and self.name in seed_addresses:
             self._initialize(folder, seed_addresses)
         known = {**seed_addresses, self.name: self.peer_address(self.name)}
-        transport = GrpcTransport(self.name, known)
+        self._transport = GrpcTransport(self.name, known)
         config = CoreConfig(
             replica_id=self.name,
             incarnation="",
@@ -123,11 +123,11 @@
             seed=random.getrandbits(32),
         )
         self._replica = Replica(
-            config, FileDisk(folder), transport, self.store, self._fail
+            config, FileDisk(folder), self._transport, self.store, self._fail
         )
         self._server = grpc.aio.server(options=MESSAGE_OPTIONS)
         self._server.add_generic_rpc_handlers((call_handler(self._answer),))
-        transport.register(self._server)
+        self._transport.register(self._server)
         self._server.add_insecure_port(self.peer_address(self.name))
         try:
             await self._replica.start()
@@ -158,6 +158,10 @@
             self._log.error("replica stopped", code=int(code))
             self.failure.set_result(code)
 
+    def reload(self) -> None:
+        """Note that the settings changed: they matter at the next start."""
+        self._log.info("settings changed", members=self._replica.status().voters)
+
     async def stop(self) -> None:
         """Hand leadership over, finish the calls in progress and stop."""
         await self._replica.stop()
@@ -214,11 +218,16 @@
         """Ask to be taken in until this process is a member."""
         while True:
             status = self._replica.status()
-            if self.name in (*status.voters, *status.learners):
+            if self.name in status.voters and not status.recovering:
+                self._log.info("member of the group", voters=list(status.voters))
                 return
             call = Join(self.name, self.peer_address(self.name))
             reply = await self._client.call(call, 1.0)
             self._log.info("asked to join", outcome=str(reply.outcome))
+            members = (*reply.members, reply.leader)
+            self._transport.learn(
+                {one.rpartition(":")[0]: one for one in members if one}
+            )
             await asyncio.sleep(_JOIN_S * random.uniform(0.5, 1.5))
 
     async def _answer(self, call: Call, context: Any) -> CallReply:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -2,12 +2,18 @@
 
 import asyncio
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
-from persimmonyard.daemon.jobs.settings import JobSettings
+from persimmonyard.daemon.jobs.settings import (
+    JobSettings,
+    load_job_settings,
+    peer_seeds,
+)
 from persimmonyard.daemon.logs import get_logger
+from persimmonyard.model import UserError
 from persimmonyard.replication import steady_now
 
 __all__ = ["JobEntryProcess"]
@@ -31,16 +37,14 @@
     def __init__(
         self,
         settings: JobSettings,
+        settings_path: Path,
         build_apps: Callable[["JobEntryProcess"], tuple[Any, Any]],
     ):
+        self._settings_path = settings_path
         self._settings = settings
         self._build_apps = build_apps
         self._log = get_logger("entry")
-        port = settings.addresses.peer_port
-        seeds = []
-        for seed in settings.group.seeds:
-            seeds.append(f"{seed.rpartition(':')[0]}:{port}")
-        self.client = LeaderClient(seeds)
+        self.client = LeaderClient(peer_seeds(settings))
         self.stopping = False
         self._reached = False
         self._probing: asyncio.Task | None = None
@@ -64,6 +68,16 @@
         await self._readiness.stop()
         await self.client.close()
 
+    def reload(self) -> None:
+        """Take the seeds of the changed settings file."""
+        try:
+            settings = load_job_settings(self._settings_path)
+        except UserError as error:
+            self._log.error("settings refused", reason=error.message)
+            return
+        self.client.add_seeds(peer_seeds(settings))
+        self._log.info("settings reloaded", seeds=settings.group.seeds)
+
     def ready(self) -> bool:
         """Return whether callers should be sent here.
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -51,6 +51,12 @@
         self._log = get_logger("leader")
         self.heard_at = float("-inf")
 
+    def add_seeds(self, seeds: list[str]) -> None:
+        """Take further addresses to look for the leader at."""
+        for address in seeds:
+            if address not in self._known:
+                self._known.append(address)
+
     async def close(self) -> None:
         """Close all connections."""
         for channel in self._channel_by_address.values():
@@ -97,9 +103,7 @@
         return random.choice(untried) if untried else None
 
     def _learn(self, reply: CallReply) -> None:
-        for address in reply.members:
-            if address not in self._known:
-                self._known.append(address)
+        self.add_seeds(list(reply.members))
         if reply.outcome == Outcome.NOT_LEADER and reply.leader:
             self._leader = reply.leader
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
@@ -7,7 +7,7 @@
 
 from persimmonyard.model import ResultCode, UserError
 
-__all__ = ["BoundSettings", "JobSettings", "load_job_settings"]
+__all__ = ["BoundSettings", "JobSettings", "load_job_settings", "peer_seeds"]
 
 ROLES = ("job-entry", "job-control")
 
@@ -86,6 +86,12 @@
     return settings
 
 
+def peer_seeds(settings: JobSettings) -> list[str]:
+    """Return the addresses of the seeds for calls between processes."""
+    port = settings.addresses.peer_port
+    return [f"{seed.rpartition(':')[0]}:{port}" for seed in settings.group.seeds]
+
+
 def _check(settings: JobSettings) -> None:
     if settings.process.role not in ROLES:
         raise _bad(f"process.role is {settings.process.role!r}, not one of {ROLES}")
--- a/test/daemon/jobs/test_leadership.py
+++ b/test/daemon/jobs/test_leadership.py
@@ -4,7 +4,7 @@
 import unittest
 
 from persimmonyard.daemon.jobs.port import OrderResult
-from persimmonyard.jobs import CancelJob, JobState, SubmitJob, TaskEnd
+from persimmonyard.jobs import CancelJob, EndRuns, JobState, SubmitJob, TaskEnd
 from test.daemon.jobs.fakes import FakePort, Term, until
 from test.jobs.fixtures import JOB_ID, job, step
 
@@ -148,7 +148,7 @@
         other = self.port.add("u2")
         self.port.refuse = OrderResult.UNHEALTHY
         await self.submit(step())
-        await until(lambda: not self.term.store.seats_by_upstream)
+        await until(lambda: any(isinstance(one, EndRuns) for one in self.term.proposed))
         self.port.refuse = None
         self.term.report("u2")
         await until(lambda: other.started)
