--- a/test/daemon/test_transport.py
+++ b/test/daemon/test_transport.py
@@ -1,7 +1,10 @@
 """Tests of the batches that replicas exchange."""
 
+import asyncio
 import unittest
 
+import grpc
+
 from persimmonyard.daemon.control import transport
 from persimmonyard.replication import decode_batch
 from persimmonyard.replication.messages import Append, Entry, EntryKind, TimeoutNow
@@ -34,3 +37,33 @@
         while link._queue:
             count += len(decode_batch((await link.next_envelope()).body))
         self.assertEqual(count, transport.MAX_QUEUED)
+
+
+class LearnTests(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, name):
+        served = transport.GrpcTransport(name, {})
+        received = []
+        server = grpc.aio.server()
+        served.register(server)
+        port = server.add_insecure_port("127.0.0.1:0")
+        await server.start()
+        await served.start(lambda sender, message: received.append(sender))
+        self.addAsyncCleanup(server.stop, None)
+        self.addAsyncCleanup(served.stop)
+        return served, received, f"127.0.0.1:{port}"
+
+    async def test_learned_replica_with_a_higher_name_is_reached(self):
+        """Guards against a replica with an empty folder that stays alone.
+
+        The leader has a higher name and is not a seed, so neither side opens
+        a stream before the other has told its address.
+        """
+        low, _, _ = await self.serve("10.0.0.1")
+        high, received, address = await self.serve("10.0.0.2")
+        low.learn({"10.0.0.2": address})
+        async with asyncio.timeout(20.0):
+            while not received:
+                low.send("10.0.0.2", TimeoutNow(1))
+                await asyncio.sleep(0.02)
+        self.assertEqual("10.0.0.1", received[0])
+        self.assertIn("10.0.0.1", high._link_by_name)
