Place far from data later, preempt only for promised work, move stalled runs

Urgent work beyond the guarantee now stops nothing, a unit waits two run times for its rack, work that can be in time goes before late work, and capacity is held only for units that fit into empty upstreams.

Also: runs that stand still are stopped and placed elsewhere, and a silent voter is removed once a newcomer has made the number of voters even.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -44,6 +44,11 @@
 _WATCH_S = 0.05
 # Pause between requests to be taken in as a member, in seconds.
 _JOIN_S = 0.5
+# How often members look after the group, in seconds.
+_MEMBER_CHECK_S = 1.0
+# A voter that is silent for longer than a restart takes may be replaced.
+_SILENCE_S = 3.0
+_LEAST_VOTERS = 4
 # Calls in progress get this long at a shutdown, in seconds.
 _DRAIN_S = 2.0
 # Elections end well within the time after which the platform expects all
@@ -144,6 +149,7 @@
         self._tasks = [
             asyncio.create_task(self._watch_leadership()),
             asyncio.create_task(self._join()),
+            asyncio.create_task(self._replace_silent()),
         ]
         self._log.info("listening", control=self.own_address(), members=seeds)
 
@@ -215,12 +221,15 @@
     # Membership.
 
     async def _join(self) -> None:
-        """Ask to be taken in until this process is a member."""
+        """Ask to be taken in while the group does without this process.
+
+        A member that was silent for long may have been removed; it notices
+        by hearing no leader.
+        """
         while True:
-            status = self._replica.status()
-            if self.name in status.voters and not status.recovering:
-                self._log.info("member of the group", voters=list(status.voters))
-                return
+            if self._is_member():
+                await asyncio.sleep(_MEMBER_CHECK_S)
+                continue
             call = Join(self.name, self.peer_address(self.name))
             reply = await self._client.call(call, 1.0)
             self._log.info("asked to join", outcome=str(reply.outcome))
@@ -230,6 +239,31 @@
             )
             await asyncio.sleep(_JOIN_S * random.uniform(0.5, 1.5))
 
+    def _is_member(self) -> bool:
+        status = self._replica.status()
+        if self.name not in status.voters or status.recovering:
+            return False
+        return bool(status.leader)
+
+    async def _replace_silent(self) -> None:
+        """Remove a silent voter once a newcomer has taken its place.
+
+        An even number of voters says that one has come in addition; it
+        tolerates no more losses than one voter fewer.
+        """
+        while True:
+            await asyncio.sleep(_MEMBER_CHECK_S)
+            voters = self._replica.status().voters
+            silent = self._replica.silent_voters(_SILENCE_S)
+            if len(voters) % 2 or len(voters) < _LEAST_VOTERS or not silent:
+                continue
+            try:
+                await self._replica.remove_member(silent[0])
+            except MemberChangeError as error:
+                self._log.info("removal refused", reason=str(error))
+                continue
+            self._log.warning("silent member removed", member=silent[0])
+
     async def _answer(self, call: Call, context: Any) -> CallReply:
         if isinstance(call, JobCall):
             reply = await self.service.answer(call)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -46,6 +46,8 @@
 _REPLAN_S = 0.5
 # A burst of events leads to one plan, in seconds.
 _GATHER_S = 0.002
+# How long an upstream on which a run stands still gets no work, in seconds.
+_STALLED_PAUSE_S = 3.0
 # Jobs that ended are looked for this often, in seconds.
 _EXPIRY_S = 20.0
 _EXPIRE_AT_ONCE = 200
@@ -322,7 +324,15 @@
                 session.stop(track, reason)
 
     def consider_progress(self, session: UpstreamSession) -> None:
-        """Look for runs that stand still on an upstream."""
+        """Move runs that stand still on an upstream."""
+        now = self.now()
+        for track in list(session.track_by_run.values()):
+            if not track.stands_still(now):
+                continue
+            self._count("stalled")
+            upstream = session.upstream
+            upstream.avoid_until = max(upstream.avoid_until, now + _STALLED_PAUSE_S)
+            self._stop_run(track.key, track.run, "stands still")
 
     # Planning.
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/tracks.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/tracks.py
@@ -7,6 +7,17 @@
 
 __all__ = ["RunState", "RunTrack"]
 
+# A run whose progress does not change for this long stands still, in seconds:
+# sound tasks of up to a minute make a percent in less.
+_STALLED_AFTER_S = 1.5
+# Members of a gang make no progress before the last one has started, for
+# which they wait 4 s at the most.
+_GANG_STALLED_AFTER_S = 4.5
+# Beyond this progress, waiting for a run that saves nothing is cheaper than
+# beginning again, in percent.
+_WORTH_WAITING_PERCENT = 50
+_DONE_PERCENT = 100
+
 
 class RunState(StrEnum):
     """How far a run has come.
@@ -57,6 +68,20 @@
             self.checkpoint = checkpoint
             self.saved_at = now
 
+    def stands_still(self, now: float) -> bool:
+        """Return whether the run should go on elsewhere.
+
+        Members of a gang wait for each other at their start.
+        """
+        if self.state != RunState.RUNNING or self.began_at is None:
+            return False
+        if self.percent >= _DONE_PERCENT or self.step.long_running:
+            return False
+        limit_s = _GANG_STALLED_AFTER_S if self.step.gang else _STALLED_AFTER_S
+        if now - self.moved_at < limit_s:
+            return False
+        return self.step.checkpoints or self.percent < _WORTH_WAITING_PERCENT
+
     def unsaved_s(self, now: float) -> float:
         """Return how much work a stop would throw away, in seconds."""
         if self.began_at is None:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -14,8 +14,12 @@
 
 __all__ = ["LiveRun", "Plan", "Planner", "Preemption"]
 
-# A unit waits for its rack this share of its run time before it goes far.
-_NEAR_PATIENCE = 0.8
+# A unit waits for its rack this many run times before it goes far, where it
+# would run three times as long and take that much capacity from others.
+_NEAR_PATIENCE = 2.0
+# Work that an account was promised goes far sooner, in seconds: it has to
+# begin within the platform's bound for reclaiming (2.7 s), stops included.
+_OWED_PATIENCE_S = 1.0
 # Of its class only the units that wait longest hold capacity back.
 _MAX_HELD_UNITS = 2
 # How long a unit waits before capacity is held back for it, in seconds.
@@ -56,12 +60,13 @@
 class _Wait(NamedTuple):
     """A unit whose turn has come, with what orders it."""
 
-    rank: tuple[int, int, float, int]
+    rank: tuple[int, int, int, float, int]
     key: UnitKey
     unit: Unit
     record: JobRecord
     route: Route
     waited_s: float
+    owed: bool
 
 
 @dataclass
@@ -106,12 +111,14 @@
         """Return what to place and to stop; the caller carries it out."""
         plan = Plan()
         configuration = self._store.configuration
-        waits = self._in_order(wall_ms)
-        if configuration is None or not waits:
+        if configuration is None:
+            return plan
+        owed = _Owed(self._store, configuration)
+        waits = self._in_order(wall_ms, owed)
+        if not waits:
             return plan
         rooms = self._rooms(runs, now)
         self._counts_by_step = {}
-        owed = _Owed(self._store, configuration)
         held = 0
         misfits: set[tuple] = set()
         for wait in waits:
@@ -138,7 +145,7 @@
 
     # Order.
 
-    def _in_order(self, wall_ms: int) -> list[_Wait]:
+    def _in_order(self, wall_ms: int, owed: "_Owed") -> list[_Wait]:
         waits: list[_Wait] = []
         self.next_due_ms = None
         ready_by_step: dict[tuple[str, int, int], bool] = {}
@@ -150,7 +157,8 @@
                 ready_by_step[place] = ready
             route = self._store.route_of(record)
             if ready and route is not None:
-                waits.append(self._wait(key, unit, record, route, wall_ms))
+                covered = route.priority == 0 and owed.covers(record)
+                waits.append(self._wait(key, unit, record, route, wall_ms, covered))
         waits.sort(key=lambda wait: wait.rank)
         return waits
 
@@ -166,17 +174,26 @@
         return True
 
     def _wait(
-        self, key: UnitKey, unit: Unit, record: JobRecord, route: Route, wall_ms: int
+        self,
+        key: UnitKey,
+        unit: Unit,
+        record: JobRecord,
+        route: Route,
+        wall_ms: int,
+        owed: bool,
     ) -> _Wait:
         job = record.job
         since = max(job.submitted_ms, job.due_ms(key.occurrence))
         chain_ms = self._times.chain_ms(job, key.step)
         objective = route.stretch * self._times.chain_ms(job, 0) + route.target_ms
         slack = since + objective - wall_ms - chain_ms
-        # Work that cannot earn anything any more goes behind the rest.
-        hopeless = int(since + 3 * objective < wall_ms + chain_ms)
-        rank = (hopeless, route.priority, slack, since)
-        return _Wait(rank, key, unit, record, route, (wall_ms - since) / _MS)
+        # Work that cannot earn anything any more goes behind the rest, and
+        # work that is late already behind what can still be in time.
+        hopeless = since + 3 * objective < wall_ms + chain_ms
+        late = int(slack < 0 and not owed)
+        rank = (int(hopeless and not owed), route.priority, late, slack, since)
+        waited_s = (wall_ms - since) / _MS
+        return _Wait(rank, key, unit, record, route, waited_s, owed)
 
     # Capacity.
 
@@ -229,6 +246,8 @@
         """Return a seat for each task of the unit, or nothing."""
         tasks = range(step.count) if wait.key.task == GANG else [wait.key.task]
         patience_s = _NEAR_PATIENCE * self._times.task_ms(wait.record.job, step) / _MS
+        if wait.owed:
+            patience_s = min(patience_s, _OWED_PATIENCE_S)
         for group, near in self._groups(step, candidates, len(tasks)):
             if not near and wait.waited_s < patience_s:
                 return []
@@ -315,15 +334,22 @@
         return counts
 
     def _hold(self, step: Step, candidates: list[_Room]) -> int:
-        """Keep the rooms that are nearest to fitting a unit for it."""
+        """Keep the rooms that are nearest to fitting a unit for it.
+
+        Returns 0 if the unit would not fit into empty rooms either.
+        """
         needs = _counted(step)
         tasks = step.count if step.gang else 1
-        total = 0
-        ranked = sorted(candidates, key=lambda room: -room.free.accelerators)
-        for room in ranked:
-            if total >= tasks:
+        best: tuple[int, list[_Room]] | None = None
+        for group, near in self._groups(step, candidates, tasks):
+            if best is not None and not near:
                 break
-            total += _how_many(needs, room.upstream.report.capacity)
+            chosen = _nearest(needs, tasks, group)
+            if chosen is not None and (best is None or chosen[0] < best[0]):
+                best = chosen
+        if best is None:
+            return 0
+        for room in best[1]:
             room.held = True
         return 1
 
@@ -339,14 +365,13 @@
         plan: Plan,
     ) -> bool:
         """Reserve what is being freed, or stop runs; return if it will fit."""
-        if wait.route.priority != 0:
+        if not wait.owed:
             return False
-        guaranteed = owed.covers(wait.record)
         tasks = step.count if wait.key.task == GANG else 1
         victims_by_id: dict[str, list[_Victim]] = {}
         for room in candidates:
             upstream_id = room.upstream.report.upstream_id
-            victims_by_id[upstream_id] = self._victims(room, guaranteed, runs, owed)
+            victims_by_id[upstream_id] = self._victims(room, runs, owed)
         best: _Reservation | None = None
         for group, near in self._groups(step, candidates, tasks):
             if best is not None and not near:
@@ -365,7 +390,6 @@
     def _victims(
         self,
         room: _Room,
-        guaranteed: bool,
         runs: dict[tuple[UnitKey, int], LiveRun],
         owed: "_Owed",
     ) -> list["_Victim"]:
@@ -379,9 +403,7 @@
             live = runs.get((key, run))
             if live is None or live.stopping or route is None:
                 continue
-            if route.priority == 0 and (not guaranteed or owed.covers(record)):
-                continue
-            if not guaranteed and not step.checkpoints:
+            if route.priority == 0 and owed.covers(record):
                 continue
             tasks = step.count if step.gang else 1
             weight = step.needs.cores + _CORES_PER_ACCELERATOR * step.needs.accelerators
@@ -477,6 +499,29 @@
     return None
 
 
+def _nearest(
+    needs: Resources, tasks: int, group: list[_Room]
+) -> tuple[int, list[_Room]] | None:
+    """Return the rooms that fit all tasks once some runs have ended.
+
+    They come with the number of accelerators that have to be freed.
+    """
+    ranked = sorted(group, key=lambda room: -room.free.accelerators)
+    chosen = []
+    fitting = 0
+    busy = 0
+    for room in ranked:
+        if fitting >= tasks:
+            break
+        count = _how_many(needs, room.upstream.report.capacity)
+        if not count:
+            continue
+        chosen.append(room)
+        fitting += count
+        busy += room.upstream.report.capacity.accelerators - room.free.accelerators
+    return (busy, chosen) if fitting >= tasks else None
+
+
 def _free_accelerators(rooms: list[_Room]) -> int:
     return sum(room.free.accelerators for room in rooms)
 
--- a/packages/replication/src/persimmonyard/replication/leadership.py
+++ b/packages/replication/src/persimmonyard/replication/leadership.py
@@ -66,6 +66,17 @@
         matches.sort(reverse=True)
         return matches[members.quorum() - 1] if matches else 0
 
+    def silent_voters(self, members: Members, since: float) -> list[str]:
+        """Return the voters whose last answer was sent before ``since``."""
+        silent = []
+        for name in members.voters:
+            progress = self.progress_by_name.get(name)
+            if progress is None:
+                continue
+            if max(progress.heard_at or 0.0, self.since) < since:
+                silent.append(name)
+        return silent
+
     def confirmed_at(self, members: Members, now: float) -> float | None:
         """Return the last time at which a quorum followed this leader.
 
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -192,6 +192,13 @@
             tuple(core.members.learners),
         )
 
+    def silent_voters(self, silence_s: float) -> list[str]:
+        """Return the voters that this leader has not heard for so long."""
+        core = self._core
+        if core is None or not self.is_leader() or core.leadership is None:
+            return []
+        return core.leadership.silent_voters(core.members, steady_now() - silence_s)
+
     # Proposing.
 
     async def propose(self, entry: bytes) -> Any:
--- a/test/daemon/jobs/test_leadership.py
+++ b/test/daemon/jobs/test_leadership.py
@@ -221,3 +221,21 @@
         reply = upstream.stop(name, run, 1)
         self.assertEqual(OrderResult.STALE_FENCE, reply)
         first.lead.close()
+
+
+class ProgressTests(unittest.IsolatedAsyncioTestCase):
+    async def test_run_that_stands_still_goes_on_elsewhere(self):
+        """Guards against a job that waits for an upstream that hangs."""
+        port = FakePort()
+        port.add("u1")
+        term = Term(port)
+        term.lead.start()
+        self.addCleanup(term.lead.close)
+        term.report("u1")
+        await term.lead.commit(SubmitJob(job(step(checkpoints=True))))
+        await until(lambda: term.store.seats_by_upstream)
+        other = port.add("u2")
+        term.report("u2")
+        await until(lambda: other.started)
+        # The stop saves a checkpoint, from which the next run resumes.
+        self.assertEqual((2, "saved"), other.started[0][1:])
--- a/test/jobs/test_planner.py
+++ b/test/jobs/test_planner.py
@@ -136,10 +136,49 @@
             world.runs[place] = world.runs[place]._replace(stopping=True)
         self.assertEqual([], world.place().preemptions)
 
-    def test_work_beyond_the_guarantee_stops_nothing_unsaved(self):
+    def test_work_beyond_the_guarantee_stops_nothing(self):
         """Guards against work thrown away for what nobody was promised."""
         world = World(guaranteed=0)
         world.add("u1")
         self.run_normal(world)
         world.submit(step(1, gpu=8), route="urgent")
         self.assertEqual([], world.place().preemptions)
+
+    def test_borrowed_urgent_work_makes_room_for_promised_work(self):
+        """Guards against a promise that other urgent work breaks."""
+        world = World(guaranteed=8)
+        world.add("u1")
+        world.submit(step(1, gpu=8), route="urgent", account="other", job_id="b" * 16)
+        for one in world.place().placements:
+            world.runs[(one.key, one.run)] = LiveRun(False, 1.0)
+        world.submit(step(1, gpu=8), route="urgent")
+        self.assertEqual(1, len(world.place().preemptions))
+
+
+class HoldTests(unittest.TestCase):
+    def test_capacity_is_held_for_a_large_gang(self):
+        """Guards against a large gang that small tasks starve."""
+        world = World()
+        world.add("u1")
+        world.submit(step(1, gpu=4), job_id="b" * 16)
+        world.place()
+        world.submit(step(1, gpu=8, gang=True))
+        world.submit(step(1, gpu=1, estimate_ms=60_000), job_id="c" * 16)
+        self.assertEqual([], world.place(after_ms=2_000).placements)
+
+    def test_nothing_is_held_for_work_that_never_fits(self):
+        """Guards against an impossible job that blocks possible ones."""
+        world = World()
+        world.add("u1")
+        world.submit(step(3, gpu=8, gang=True))
+        world.submit(step(1, gpu=1, estimate_ms=60_000), job_id="c" * 16)
+        self.assertEqual(1, len(world.place(after_ms=2_000).placements))
+
+    def test_work_that_can_be_in_time_goes_before_late_work(self):
+        """Guards against late work that makes other work late as well."""
+        world = World()
+        world.add("u1", gpu=1)
+        world.submit(step(1), job_id="b" * 16, submitted_ms=1_800_000_000_000 - 9_000)
+        world.submit(step(1), job_id="c" * 16)
+        plan = world.place()
+        self.assertEqual("c" * 16, plan.placements[0].key.job_id)
