--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -21,9 +21,11 @@
     call_handler,
 )
 from persimmonyard.daemon.jobs.durations import durations
+from persimmonyard.daemon.jobs.inspection import inspection_server
 from persimmonyard.daemon.jobs.job_service import JobService
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
 from persimmonyard.daemon.jobs.leadership import Leadership
+from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.port import UpstreamPort
 from persimmonyard.daemon.jobs.settings import JobSettings
 from persimmonyard.daemon.logs import get_logger
@@ -76,7 +78,8 @@
         self._log = get_logger("control")
         self.store = JobStore()
         self.leadership: Leadership | None = None
-        self.service = JobService(self.store, lambda: self.leadership)
+        self._metrics = JobMetrics()
+        self.service = JobService(self.store, lambda: self.leadership, self._metrics)
         self._build_app = build_app
         self._durations = durations(settings.bounds)
         self._tasks: list[asyncio.Task] = []
@@ -145,6 +148,7 @@
         host, _, port = self.own_address().rpartition(":")
         self._http = HttpServer(self._build_app(self), host, int(port), _DRAIN_S)
         await self._http.start()
+        await self._start_inspection()
         self._client = LeaderClient(list(seed_addresses.values()))
         self._tasks = [
             asyncio.create_task(self._watch_leadership()),
@@ -153,6 +157,32 @@
         ]
         self._log.info("listening", control=self.own_address(), members=seeds)
 
+    async def _start_inspection(self) -> None:
+        self._metrics.add_gauge(
+            "jobs", "Jobs that are kept.", lambda: len(self.store.job_by_id)
+        )
+        self._metrics.add_gauge(
+            "waiting_units", "Units that wait.", lambda: len(list(self.store.waiting()))
+        )
+        self._metrics.add_gauge(
+            "term", "Term of the replicated log.", lambda: self._replica.status().term
+        )
+        self._metrics.add_gauge(
+            "leads", "1 if this process leads.", lambda: self._replica.is_leader()
+        )
+        addresses = self._settings.addresses
+        self._inspection = inspection_server(
+            self._metrics, self._dump, addresses.ip, addresses.metrics_port
+        )
+        await self._inspection.start()
+
+    def _dump(self) -> dict[str, Any]:
+        """Return what an operator sees of this process."""
+        dump: dict[str, Any] = {"replica": self._replica.status()._asdict()}
+        if self.leadership is not None:
+            dump["leadership"] = self.leadership.dump()
+        return dump
+
     def _initialize(self, folder: Path, seed_addresses: dict[str, str]) -> None:
         try:
             initialize(folder, self.name, seed_addresses)
@@ -176,6 +206,7 @@
             task.cancel()
         if self._http is not None:
             await self._http.stop()
+            await self._inspection.stop()
         await self._server.stop(0.2)
         await self._port.close()
 
@@ -200,6 +231,7 @@
             term,
             self._propose,
             self._replica.is_leader,
+            self._metrics,
         )
         self.leadership.start()
 
@@ -211,10 +243,13 @@
     async def _propose(self, command: Command) -> Any:
         started_at = time.perf_counter()
         result = await self._replica.propose(encode_command(command))
-        took_ms = int((time.perf_counter() - started_at) * 1_000)
-        if took_ms > self._settings.bounds.contact_ms / 10:
+        took_s = time.perf_counter() - started_at
+        self._metrics.note_commit(type(command).__name__, took_s)
+        if took_s * 1_000 > self._settings.bounds.contact_ms / 10:
             self._log.warning(
-                "slow commit", command=type(command).__name__, took_ms=took_ms
+                "slow commit",
+                command=type(command).__name__,
+                took_ms=int(took_s * 1_000),
             )
         return result
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.jobs.inspection import inspection_server
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
+from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.settings import (
     JobSettings,
     load_job_settings,
@@ -45,6 +47,10 @@
         self._build_apps = build_apps
         self._log = get_logger("entry")
         self.client = LeaderClient(peer_seeds(settings))
+        self.metrics = JobMetrics()
+        self.metrics.add_gauge(
+            "ready", "1 if callers should be sent here.", lambda: self._reached
+        )
         self.stopping = False
         self._reached = False
         self._probing: asyncio.Task | None = None
@@ -57,6 +63,10 @@
         self._readiness = _server(readiness, addresses.readiness)
         await self._callers.start()
         await self._readiness.start()
+        self._inspection = inspection_server(
+            self.metrics, self._dump, addresses.ip, addresses.metrics_port
+        )
+        await self._inspection.start()
         self._log.info("listening", callers=addresses.callers)
 
     async def stop(self) -> None:
@@ -66,8 +76,18 @@
         self._callers.stop_listening()
         await self._callers.stop()
         await self._readiness.stop()
+        await self._inspection.stop()
         await self.client.close()
 
+    def _dump(self) -> dict[str, Any]:
+        """Return what an operator sees of this process."""
+        return {
+            "stopping": self.stopping,
+            "leader_reached": self._reached,
+            "leader_heard_s_ago": steady_now() - self.client.heard_at,
+            "connections": self._callers.connection_count(),
+        }
+
     def reload(self) -> None:
         """Take the seeds of the changed settings file."""
         try:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -8,6 +8,7 @@
 
 from persimmonyard.daemon.jobs.calls import CallReply, JobCall, Outcome, Verb
 from persimmonyard.daemon.jobs.leadership import Leadership
+from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.jobs import (
     CancelJob,
@@ -49,8 +50,14 @@
     where that is stated.
     """
 
-    def __init__(self, store: JobStore, leadership: Callable[[], Leadership | None]):
+    def __init__(
+        self,
+        store: JobStore,
+        leadership: Callable[[], Leadership | None],
+        metrics: JobMetrics,
+    ):
         self._store = store
+        self._metrics = metrics
         self._leadership = leadership
         self._log = get_logger("service")
 
@@ -68,6 +75,8 @@
             reply = CallReply(Outcome.NOT_LEADER)
         except OutcomeUnknownError as error:
             reply = CallReply(Outcome.UNKNOWN, detail=str(error))
+        took_s = time.perf_counter() - started_at
+        self._metrics.note_call(str(call.verb), str(reply.outcome), took_s)
         if call.verb != Verb.READ or reply.outcome != Outcome.OK:
             self._log.info(
                 "call answered",
@@ -76,7 +85,7 @@
                 outcome=str(reply.outcome),
                 detail=reply.detail,
                 version=self._version(),
-                took_ms=int((time.perf_counter() - started_at) * 1_000),
+                took_ms=int(took_s * 1_000),
             )
         return reply
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from persimmonyard.daemon.jobs.durations import Durations
+from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.port import UpstreamPort
 from persimmonyard.daemon.jobs.session import UpstreamSession
 from persimmonyard.daemon.jobs.tracks import RunState, RunTrack
@@ -68,17 +69,19 @@
         fence: int,
         propose: Callable[[Command], Awaitable[Any]],
         leads: Callable[[], bool],
+        metrics: JobMetrics,
         now: Callable[[], float] = steady_now,
     ):
         self.store = store
         self.port = port
         self.durations = durations
         self.fence = fence
-        self.leads = leads
+        self._leads = leads
+        self._closed = False
         self.now = now
         self.log = get_logger("jobs").bind(term=fence)
         self.fleet = Fleet(durations.heartbeat_s)
-        self.counts: dict[str, int] = {}
+        self._metrics = metrics
         # Set when a part of the term has failed, so that a new one begins.
         self.broken = False
         self._propose = propose
@@ -106,9 +109,14 @@
 
     def close(self) -> None:
         """Stop everything that belongs to this term."""
+        self._closed = True
         for task in list(self._tasks):
             task.cancel()
-        self.log.info("leadership ends", counts=self.counts)
+        self.log.info("leadership ends", sessions=len(self._session_by_id))
+
+    def leads(self) -> bool:
+        """Return whether orders of this term may be sent."""
+        return not self._closed and self._leads()
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine until it ends or the term does."""
@@ -230,7 +238,9 @@
 
     def note_started(self, track: RunTrack, upstream: Upstream, took_s: float) -> None:
         """Log the begin of a run."""
-        self._count("started")
+        record = self.store.job_by_id.get(track.name.job_id)
+        if record is not None:
+            self._metrics.note_start(record.job.route, took_s)
         self.log.info(
             "run started",
             job=track.name.job_id,
@@ -242,12 +252,9 @@
 
     def note_stale_fence(self, upstream: Upstream) -> None:
         """Log that another leader has given orders since."""
-        self._count("stale_fence")
+        self._metrics.note_event("stale_fence")
         self.log.warning("fence refused", upstream=upstream.report.upstream_id)
 
-    def _count(self, name: str, by: int = 1) -> None:
-        self.counts[name] = self.counts.get(name, 0) + by
-
     async def record_ends(self, session: UpstreamSession, ends: list[RunEnd]) -> None:
         """Commit ends, then act on them."""
         await self._propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
@@ -263,7 +270,7 @@
 
     def _note_end(self, track: RunTrack, end: RunEnd, upstream_id: str) -> None:
         now = self.now()
-        self._count(f"ended_{end.end}")
+        self._metrics.note_end(str(end.end))
         record = self.store.job_by_id.get(end.key.job_id)
         self.log.info(
             "run ended",
@@ -329,7 +336,7 @@
         for track in list(session.track_by_run.values()):
             if not track.stands_still(now):
                 continue
-            self._count("stalled")
+            self._metrics.note_event("stalled")
             upstream = session.upstream
             upstream.avoid_until = max(upstream.avoid_until, now + _STALLED_PAUSE_S)
             self._stop_run(track.key, track.run, "stands still")
@@ -348,8 +355,10 @@
 
     async def _plan_loop(self) -> None:
         while True:
+            # asyncio.wait_for may swallow a cancellation in Python 3.11.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._kick.wait(), self._replan_s())
+                async with asyncio.timeout(self._replan_s()):
+                    await self._kick.wait()
             await asyncio.sleep(_GATHER_S)
             self._kick.clear()
             if not self.leads():
@@ -388,7 +397,7 @@
         return runs
 
     def _preempt(self, preemption: Preemption) -> None:
-        self._count("preempted")
+        self._metrics.note_event("preempted")
         reason = f"room for {preemption.for_unit.job_id}"
         self._stop_run(preemption.key, preemption.run, reason)
 
@@ -429,6 +438,25 @@
         configuration = self.store.configuration
         return configuration.version if configuration is not None else 0
 
+    # Inspection.
+
+    def dump(self) -> dict[str, Any]:
+        """Return what an operator sees of this term."""
+        upstreams = {}
+        now = self.now()
+        for upstream_id, upstream in self.fleet.by_id.items():
+            session = self._session_by_id.get(upstream_id)
+            upstreams[upstream_id] = {
+                "zone": upstream.report.zone,
+                "incarnation": upstream.report.incarnation,
+                "leaving": upstream.report.leaving,
+                "gone": upstream.gone,
+                "heard_s_ago": round(now - upstream.heard_at, 3),
+                "avoided_s": round(max(0.0, upstream.avoid_until - now), 3),
+                "runs": len(session.track_by_run) if session is not None else 0,
+            }
+        return {"term": self.fence, "upstreams": upstreams}
+
     # Expiry.
 
     async def _expiry_loop(self) -> None:
--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/metrics.py
@@ -0,0 +1,62 @@
+"""Counters and latencies of the job roles."""
+
+from aioprometheus import Counter, Histogram
+
+from persimmonyard.daemon.metrics import LATENCY_BUCKETS_S, ProcessMetrics
+
+__all__ = ["JobMetrics"]
+
+
+class JobMetrics(ProcessMetrics):
+    """Labels come from small fixed sets, and classes of work; times in s."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._calls = self._counter(
+            "job_calls_total", "Calls by operation and outcome."
+        )
+        self._call_s = self._histogram(
+            "job_call_seconds", "Time to answer a call, by operation."
+        )
+        self._commit_s = self._histogram(
+            "commit_seconds", "Time to commit a command, by its kind."
+        )
+        self._starts = self._histogram(
+            "run_start_seconds", "Time from placement to start, by class of work."
+        )
+        self._ends = self._counter("run_ends_total", "Runs by how they ended.")
+        self._events = self._counter(
+            "scheduling_events_total", "Preemptions, stalls, refusals and the like."
+        )
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(f"persimmonyard_{name}", text, registry=self._registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"persimmonyard_{name}",
+            text,
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+    def note_call(self, operation: str, outcome: str, seconds: float) -> None:
+        """Record an answered call."""
+        self._calls.inc({"operation": operation, "outcome": outcome})
+        self._call_s.observe({"operation": operation}, seconds)
+
+    def note_commit(self, command: str, seconds: float) -> None:
+        """Record a committed command."""
+        self._commit_s.observe({"command": command}, seconds)
+
+    def note_start(self, work_class: str, seconds: float) -> None:
+        """Record a run that an upstream has started."""
+        self._starts.observe({"class": work_class}, seconds)
+
+    def note_end(self, end: str) -> None:
+        """Record the end of a run."""
+        self._ends.inc({"end": end})
+
+    def note_event(self, event: str) -> None:
+        """Record a decision that is neither a start nor an end."""
+        self._events.inc({"event": event})
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -126,7 +126,8 @@
         self._wake.clear()
         if self._seen > self._acknowledged and not self.upstream.gone:
             try:
-                await asyncio.wait_for(self._wake.wait(), _ACKNOWLEDGE_AFTER_S)
+                async with asyncio.timeout(_ACKNOWLEDGE_AFTER_S):
+                    await self._wake.wait()
             except TimeoutError:
                 return
         while not self.track_by_run:
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -5,6 +5,7 @@
 
 from persimmonyard.daemon.jobs.durations import Durations
 from persimmonyard.daemon.jobs.leadership import Leadership
+from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.port import (
     EndedRun,
     NoAnswerError,
@@ -152,6 +153,7 @@
             fence,
             self.propose,
             lambda: self.leading,
+            JobMetrics(),
         )
 
     async def propose(self, command):
--- a/test/daemon/jobs/test_leadership.py
+++ b/test/daemon/jobs/test_leadership.py
@@ -239,3 +239,27 @@
         await until(lambda: other.started)
         # The stop saves a checkpoint, from which the next run resumes.
         self.assertEqual((2, "saved"), other.started[0][1:])
+
+
+class CloseTests(unittest.IsolatedAsyncioTestCase):
+    async def test_closing_ends_every_task_of_the_term(self):
+        """Guards against tasks of an ended term that go on beside a new one.
+
+        A wait that ends in the same turn of the loop as the cancellation
+        used to swallow it.
+        """
+        for turns in range(4):
+            term = Term(FakePort())
+            term.lead.start()
+            await asyncio.sleep(0.05)
+            tasks = set(term.lead._tasks)
+            term.lead.kick()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            term.lead.close()
+            term.lead.kick()
+            await asyncio.wait(tasks, timeout=2.0)
+            left = [task for task in tasks if not task.done()]
+            for task in left:
+                task.cancel()
+            self.assertEqual([], left, f"after {turns} turns")
