--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -232,6 +232,12 @@
         unit = record.units[track.key]
         return unit if unit.run == track.run else None
 
+    def may_start(self, upstream: Upstream) -> bool:
+        """Return whether starts may still be sent to an upstream."""
+        if upstream.report.leaving or upstream.gone:
+            return False
+        return upstream.report.zone not in self.store.zones_out
+
     def payload(self, track: RunTrack) -> str:
         """Return what the caller sent for the tasks of the job."""
         return self.store.job_by_id[track.name.job_id].job.payload
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -253,9 +253,9 @@
     def _missing(self, track: RunTrack, sent_at: float) -> RunEnd | None:
         """Decide what a run is that a look did not list."""
         if track.state == RunState.INHERITED:
-            # The same start again is harmless if the first one arrived.
-            track.state = RunState.STARTING
-            self._lead.spawn(self._start(track))
+            # The zone or the upstream may have left service since it was
+            # placed, so it is placed anew instead of started.
+            self.stop(track, "placed by a former leader, not started")
             return None
         if track.settled_at is None or sent_at <= track.settled_at:
             return None
@@ -291,6 +291,9 @@
             unit = lead.unit(track)
             if unit is None or not lead.leads():
                 return
+            if not lead.may_start(self.upstream):
+                self.stop(track, "upstream left service")
+                return
             if not self.upstream.clock_known:
                 await asyncio.sleep(_RETRY_S)
                 if lead.now() - first_at > lead.durations.start_s:
--- a/test/jobs/test_planner.py
+++ b/test/jobs/test_planner.py
@@ -98,12 +98,33 @@
     def test_gang_that_waited_long_takes_any_racks(self):
         """Guards against a gang that starves for a rack of its own."""
         world = World()
-        world.add("u1", rack="r1")
-        world.add("u2", rack="r2")
+        for upstream_id, rack in (("u1", "r1"), ("u2", "r1"), ("u3", "r2")):
+            world.add(upstream_id, rack=rack)
+        world.submit(step(1, gpu=8), job_id="b" * 16)
+        world.place()
         world.submit(step(2, gpu=8, gang=True, one_rack=True))
         self.assertEqual([], world.place().placements)
         self.assertEqual(1, len(world.place(after_ms=5_000).placements))
 
+    def test_gang_that_fits_no_rack_takes_any_at_once(self):
+        """Guards against a wait for a rack that can never be enough."""
+        world = World()
+        world.add("u1", rack="r1")
+        world.add("u2", rack="r2")
+        world.submit(step(2, gpu=8, gang=True, one_rack=True))
+        self.assertEqual(1, len(world.place().placements))
+
+    def test_task_goes_far_soon_while_half_the_capacity_is_free(self):
+        """Guards against idle upstreams beside work that waits for a rack."""
+        world = World()
+        world.add("u1", rack="r1")
+        world.add("u2", rack="r2")
+        world.submit(step(1, gpu=8, rack="r1", estimate_ms=9_000), job_id="b" * 16)
+        world.place()
+        world.submit(step(1, gpu=1, rack="r1", estimate_ms=9_000))
+        self.assertEqual([], world.place(after_ms=500).placements)
+        self.assertEqual(1, len(world.place(after_ms=1_600).placements))
+
 
 class PreemptionTests(unittest.TestCase):
     def run_normal(self, world):
