--- a/packages/cli/src/persimmonyard/cli/main.py
+++ b/packages/cli/src/persimmonyard/cli/main.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from persimmonyard.cli import inspect_commands, operate, work
+from persimmonyard.cli import inspect_commands, operate, trace, work
 from persimmonyard.cli.exit_codes import exit_status
 from persimmonyard.cli.session import session
 from persimmonyard.cli.settings import load_settings
@@ -64,6 +64,7 @@
     work.cancel,
     work.explain,
     inspect_commands.dump,
+    trace.trace,
     inspect_commands.check_settings,
     inspect_commands.hash_token,
 ):
--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -51,14 +51,8 @@
 # A voter that is silent for longer than a restart takes may be replaced.
 _SILENCE_S = 3.0
 _LEAST_VOTERS = 4
-# Calls in progress get this long at a shutdown, in seconds.
-_DRAIN_S = 2.0
-# Elections end well within the time after which the platform expects all
-# processes to be in touch again; see docs/platform.md.
-_HEARTBEAT_S = 0.2
-_ELECTION_MIN_S = 0.8
-_ELECTION_MAX_S = 1.3
-_LEASE_S = 0.7
+# Candidates start at different times within this factor.
+_ELECTION_SPREAD = 1.6
 
 
 class JobControlProcess:
@@ -124,10 +118,10 @@
             replica_id=self.name,
             incarnation="",
             peers=tuple(seeds),
-            heartbeat_s=_HEARTBEAT_S,
-            election_min_s=_ELECTION_MIN_S,
-            election_max_s=_ELECTION_MAX_S,
-            lease_s=_LEASE_S,
+            heartbeat_s=self._durations.beat_s,
+            election_min_s=self._durations.election_s,
+            election_max_s=self._durations.election_s * _ELECTION_SPREAD,
+            lease_s=self._durations.leader_lease_s,
             seed=random.getrandbits(32),
         )
         self._replica = Replica(
@@ -146,7 +140,9 @@
         gc.freeze()
         await self._server.start()
         host, _, port = self.own_address().rpartition(":")
-        self._http = HttpServer(self._build_app(self), host, int(port), _DRAIN_S)
+        self._http = HttpServer(
+            self._build_app(self), host, int(port), self._durations.drain_s
+        )
         await self._http.start()
         await self._start_inspection()
         self._client = LeaderClient(list(seed_addresses.values()))
@@ -261,10 +257,16 @@
         A member that was silent for long may have been removed; it notices
         by hearing no leader.
         """
+        member = False
         while True:
             if self._is_member():
+                if not member:
+                    voters = self._replica.status().voters
+                    self._log.info("member of the group", voters=list(voters))
+                member = True
                 await asyncio.sleep(_MEMBER_CHECK_S)
                 continue
+            member = False
             call = Join(self.name, self.peer_address(self.name))
             reply = await self._client.call(call, 1.0)
             self._log.info("asked to join", outcome=str(reply.outcome))
--- a/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
@@ -15,12 +15,28 @@
 # An order within a region is answered in a few ms; a lost one is repeated
 # early enough for several attempts within the patience of a gang.
 _ORDER_SHARE = 0.15
+# The load balancer polls once a second and takes an instance out after two
+# misses: with a grace of 6 s, calls are served for 2.3 s after a stop begins,
+# and those in progress get 2.7 s more.
+_NOTICE_SHARE = 0.38
+_DRAIN_SHARE = 0.45
+# Shares of the time after which the platform expects everything to work
+# again: a lost leader is noticed, and another one elected, in less than half
+# of it. A lease ends before an election although clock rates may differ by
+# 10%, and outlives two lost heartbeats.
+_BEAT_SHARE = 1 / 15
+_ELECTION_SHARE = 0.27
+_LEADER_LEASE_SHARE = 0.235
 # Jobs that ended are kept a tenth longer than callers may ask for them.
 _RETENTION_SHARE = 1.1
 
 
 class Durations(NamedTuple):
-    """Milliseconds where the name says so, else seconds."""
+    """Milliseconds where the name says so, else seconds.
+
+    ``beat_s``, ``election_s`` and ``leader_lease_s`` are for the replicated
+    log; an election begins after one to 1.6 times ``election_s``.
+    """
 
     lease_ms: int
     wait_ms: int
@@ -28,7 +44,11 @@
     start_s: float
     retention_ms: int
     heartbeat_s: float
-    stop_s: float
+    notice_s: float
+    drain_s: float
+    beat_s: float
+    election_s: float
+    leader_lease_s: float
 
 
 def durations(bounds: BoundSettings) -> Durations:
@@ -40,5 +60,9 @@
         start_s=bounds.gang_patience_ms * _START_SHARE / 1_000,
         retention_ms=int(bounds.state_kept_s * 1_000 * _RETENTION_SHARE),
         heartbeat_s=bounds.heartbeat_ms / 1_000,
-        stop_s=bounds.stop_ms / 1_000,
+        notice_s=bounds.stop_grace_s * _NOTICE_SHARE,
+        drain_s=bounds.stop_grace_s * _DRAIN_SHARE,
+        beat_s=bounds.contact_ms / 1_000 * _BEAT_SHARE,
+        election_s=bounds.contact_ms / 1_000 * _ELECTION_SHARE,
+        leader_lease_s=bounds.contact_ms / 1_000 * _LEADER_LEASE_SHARE,
     )
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.jobs.durations import durations
 from persimmonyard.daemon.jobs.inspection import inspection_server
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
 from persimmonyard.daemon.jobs.metrics import JobMetrics
@@ -20,11 +21,6 @@
 
 __all__ = ["JobEntryProcess"]
 
-# The load balancer polls once a second and takes an instance out after two
-# misses; calls go on arriving for this many seconds after a stop begins.
-_NOTICE_S = 2.3
-# Time for calls in progress after the listener has closed, in seconds.
-_DRAIN_S = 3.0
 # Without an answer of a leader for this long, an entry asks again.
 _FRESH_S = 2.5
 _PROBE_S = 0.7
@@ -46,6 +42,7 @@
         self._settings = settings
         self._build_apps = build_apps
         self._log = get_logger("entry")
+        self._durations = durations(settings.bounds)
         self.client = LeaderClient(peer_seeds(settings))
         self.metrics = JobMetrics()
         self.metrics.add_gauge(
@@ -59,8 +56,8 @@
         """Serve callers and the load balancer."""
         callers, readiness = self._build_apps(self)
         addresses = self._settings.addresses
-        self._callers = _server(callers, addresses.callers)
-        self._readiness = _server(readiness, addresses.readiness)
+        self._callers = self._server(callers, addresses.callers)
+        self._readiness = self._server(readiness, addresses.readiness)
         await self._callers.start()
         await self._readiness.start()
         self._inspection = inspection_server(
@@ -72,7 +69,7 @@
     async def stop(self) -> None:
         """Leave the load balancer, then finish the calls in progress."""
         self.stopping = True
-        await asyncio.sleep(_NOTICE_S)
+        await asyncio.sleep(self._durations.notice_s)
         self._callers.stop_listening()
         await self._callers.stop()
         await self._readiness.stop()
@@ -118,7 +115,6 @@
             self._log.info("readiness changed", leader_reached=reached)
         self._reached = reached
 
-
-def _server(app: Any, address: str) -> HttpServer:
-    host, _, port = address.rpartition(":")
-    return HttpServer(app, host, int(port), _DRAIN_S)
+    def _server(self, app: Any, address: str) -> HttpServer:
+        host, _, port = address.rpartition(":")
+        return HttpServer(app, host, int(port), self._durations.drain_s)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -1,13 +1,13 @@
 """One term of the control leader: it plans, starts and supervises runs."""
 
 import asyncio
-import contextlib
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from persimmonyard.daemon.jobs.durations import Durations
 from persimmonyard.daemon.jobs.metrics import JobMetrics
+from persimmonyard.daemon.jobs.planning import Planning
 from persimmonyard.daemon.jobs.port import UpstreamPort
 from persimmonyard.daemon.jobs.session import UpstreamSession
 from persimmonyard.daemon.jobs.tracks import RunState, RunTrack
@@ -18,11 +18,6 @@
     ExpireJobs,
     Fleet,
     JobStore,
-    LiveRun,
-    Placement,
-    PlaceRuns,
-    Planner,
-    Preemption,
     RunEnd,
     RunName,
     RunTimes,
@@ -42,16 +37,15 @@
 
 __all__ = ["Leadership"]
 
-# Longest time between two plans while units wait, in seconds: capacity may
-# come back, and patience for a rack runs out, without an event.
-_REPLAN_S = 0.5
-# A burst of events leads to one plan, in seconds.
-_GATHER_S = 0.002
+# A start that takes longer than a few round trips and a commit, in seconds.
+_SLOW_START_S = 0.25
 # How long an upstream on which a run stands still gets no work, in seconds.
 _STALLED_PAUSE_S = 3.0
 # Jobs that ended are looked for this often, in seconds.
 _EXPIRY_S = 20.0
 _EXPIRE_AT_ONCE = 200
+# An upstream that is silent for many leases has gone, in seconds.
+_FORGET_AFTER_S = 60.0
 
 
 class Leadership:
@@ -84,12 +78,11 @@
         self._metrics = metrics
         # Set when a part of the term has failed, so that a new one begins.
         self.broken = False
-        self._propose = propose
+        self.propose = propose
         self._times = RunTimes()
         self._health = UpstreamHealth()
-        self._planner = Planner(store, self.fleet, self._times)
+        self._planning = Planning(self, self._times)
         self._session_by_id: dict[str, UpstreamSession] = {}
-        self._kick = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
     # Life cycle.
@@ -104,7 +97,7 @@
         self.log.info(
             "leadership begins", jobs=len(self.store.job_by_id), runs=inherited
         )
-        self.spawn(self._plan_loop())
+        self.spawn(self._planning.run())
         self.spawn(self._expiry_loop())
 
     def close(self) -> None:
@@ -156,14 +149,15 @@
         step = record.job.steps[name.step]
         key = name.unit(step.gang)
         track = RunTrack(name, run, key, step, RunState.INHERITED, now)
-        session = self._session(self.fleet.by_id[seat.upstream_id])
+        session = self.session(self.fleet.by_id[seat.upstream_id])
         session.add(track)
         unit = record.units[key]
         broken = any(one.end not in (None, TaskEnd.DONE) for one in unit.seats)
         if not record.live() or broken:
             session.stop(track, "job has ended" if not broken else "gang is broken")
 
-    def _session(self, upstream: Upstream) -> UpstreamSession:
+    def session(self, upstream: Upstream) -> UpstreamSession:
+        """Return the session of an upstream, a new one if need be."""
         upstream_id = upstream.report.upstream_id
         session = self._session_by_id.get(upstream_id)
         if session is None:
@@ -171,6 +165,10 @@
             self._session_by_id[upstream_id] = session
         return session
 
+    def sessions(self) -> list[UpstreamSession]:
+        """Return the sessions of this term."""
+        return list(self._session_by_id.values())
+
     # Reports of upstreams.
 
     def observe(self, report: UpstreamReport) -> None:
@@ -209,7 +207,7 @@
             return
         for track in list(session.track_by_run.values()):
             if track.step.checkpoints:
-                self._stop_run(track.key, track.run, "upstream leaves")
+                self.stop_run(track.key, track.run, "upstream leaves")
 
     async def depart(self, upstream_id: str) -> None:
         """Take the word of a leaving upstream that it has ended."""
@@ -243,12 +241,14 @@
         return self.store.job_by_id[track.name.job_id].job.payload
 
     def note_started(self, track: RunTrack, upstream: Upstream, took_s: float) -> None:
-        """Log the begin of a run."""
+        """Count the begin of a run, and log it if it took long."""
         record = self.store.job_by_id.get(track.name.job_id)
         if record is not None:
             self._metrics.note_start(record.job.route, took_s)
+        if took_s < _SLOW_START_S:
+            return
         self.log.info(
-            "run started",
+            "run started late",
             job=track.name.job_id,
             task=".".join(map(str, track.name[1:])),
             run=track.run,
@@ -256,14 +256,18 @@
             took_ms=int(took_s * 1_000),
         )
 
+    def note_event(self, event: str) -> None:
+        """Count a decision that is neither a start nor an end."""
+        self._metrics.note_event(event)
+
     def note_stale_fence(self, upstream: Upstream) -> None:
         """Log that another leader has given orders since."""
-        self._metrics.note_event("stale_fence")
+        self.note_event("stale_fence")
         self.log.warning("fence refused", upstream=upstream.report.upstream_id)
 
     async def record_ends(self, session: UpstreamSession, ends: list[RunEnd]) -> None:
         """Commit ends, then act on them."""
-        await self._propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
+        await self.propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
         upstream_id = session.upstream.report.upstream_id
         for end in ends:
             name = RunName(end.key.job_id, end.key.occurrence, end.key.step, end.task)
@@ -312,7 +316,7 @@
             self.stop_job(end.key.job_id, str(record.state()))
             return
         if end.end != TaskEnd.DONE and record.step_of(end.key).gang:
-            self._stop_run(end.key, end.run, "gang is broken")
+            self.stop_run(end.key, end.run, "gang is broken")
 
     def stop_job(self, job_id: str, reason: str) -> None:
         """Stop all runs of a job."""
@@ -321,9 +325,10 @@
             return
         for key, unit in record.units.items():
             if unit.seats:
-                self._stop_run(key, unit.run, reason)
+                self.stop_run(key, unit.run, reason)
 
-    def _stop_run(self, key: UnitKey, run: int, reason: str) -> None:
+    def stop_run(self, key: UnitKey, run: int, reason: str) -> None:
+        """Stop what has not ended of a run."""
         unit = self.store.job_by_id[key.job_id].units[key]
         if unit.run != run:
             return
@@ -342,108 +347,23 @@
         for track in list(session.track_by_run.values()):
             if not track.stands_still(now):
                 continue
-            self._metrics.note_event("stalled")
+            self.note_event("stalled")
             upstream = session.upstream
             upstream.avoid_until = max(upstream.avoid_until, now + _STALLED_PAUSE_S)
-            self._stop_run(track.key, track.run, "stands still")
+            self.stop_run(track.key, track.run, "stands still")
 
     # Planning.
 
     def kick(self) -> None:
         """Plan again soon."""
-        self._kick.set()
+        self._planning.kick()
 
     async def commit(self, command: Command) -> Any:
         """Commit a command of a caller or an operator, then plan again."""
-        result = await self._propose(command)
+        result = await self.propose(command)
         self.kick()
         return result
 
-    async def _plan_loop(self) -> None:
-        while True:
-            # asyncio.wait_for may swallow a cancellation in Python 3.11.
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._replan_s()):
-                    await self._kick.wait()
-            await asyncio.sleep(_GATHER_S)
-            self._kick.clear()
-            if not self.leads():
-                return
-            await self._plan()
-
-    def _replan_s(self) -> float:
-        due = self._planner.next_due_ms
-        if due is None:
-            return _REPLAN_S
-        return min(_REPLAN_S, max(0.01, due / 1_000 - time.time()))
-
-    async def _plan(self) -> None:
-        runs = self._live_runs()
-        plan = self._planner.plan(self.now(), int(time.time() * 1_000), runs)
-        for preemption in plan.preemptions:
-            self._preempt(preemption)
-        if not plan.placements:
-            return
-        await self._propose(PlaceRuns(tuple(plan.placements)))
-        for placement in plan.placements:
-            self._begin(placement)
-
-    def _live_runs(self) -> dict[tuple[UnitKey, int], LiveRun]:
-        """Return the state of each run: the worst of its tasks counts."""
-        runs: dict[tuple[UnitKey, int], LiveRun] = {}
-        now = self.now()
-        for session in self._session_by_id.values():
-            for track in session.track_by_run.values():
-                place = (track.key, track.run)
-                known = runs.get(place, LiveRun(False, 0.0))
-                runs[place] = LiveRun(
-                    known.stopping or track.state == RunState.STOPPING,
-                    max(known.worked_s, track.unsaved_s(now)),
-                )
-        return runs
-
-    def _preempt(self, preemption: Preemption) -> None:
-        self._metrics.note_event("preempted")
-        reason = f"room for {preemption.for_unit.job_id}"
-        self._stop_run(preemption.key, preemption.run, reason)
-
-    def _begin(self, placement: Placement) -> None:
-        """Start a run whose placement is committed."""
-        key = placement.key
-        record = self.store.job_by_id.get(key.job_id)
-        if record is None or record.units[key].run != placement.run:
-            return
-        if not record.units[key].seats:
-            return
-        now = self.now()
-        step = record.step_of(key)
-        self.log.info(
-            "run placed",
-            job=key.job_id,
-            unit=".".join(map(str, key[1:])),
-            run=placement.run,
-            upstreams=[seat.upstream_id for seat in placement.seats],
-            version=self._version(),
-        )
-        for seat in placement.seats:
-            upstream = self.fleet.by_id[seat.upstream_id]
-            name = RunName(key.job_id, key.occurrence, key.step, seat.task)
-            track = RunTrack(name, placement.run, key, step, RunState.STARTING, now)
-            session = self._session(upstream)
-            if upstream.report.incarnation != seat.incarnation:
-                # It restarted while the placement was being committed.
-                track.state = RunState.RUNNING
-                session.add(track)
-                session.stop(track, "upstream restarted")
-                continue
-            session.add(track)
-        if not record.live():
-            self._stop_run(key, placement.run, "job has ended")
-
-    def _version(self) -> int:
-        configuration = self.store.configuration
-        return configuration.version if configuration is not None else 0
-
     # Inspection.
 
     def dump(self) -> dict[str, Any]:
@@ -465,11 +385,21 @@
 
     # Expiry.
 
+    def _forget_silent(self) -> None:
+        """Drop upstreams that were silent for long and run nothing."""
+        busy = set(self.store.seats_by_upstream)
+        for upstream_id in self.fleet.forget(_FORGET_AFTER_S, busy, self.now()):
+            session = self._session_by_id.pop(upstream_id, None)
+            if session is not None:
+                session.close()
+            self.log.info("upstream forgotten", upstream=upstream_id)
+
     async def _expiry_loop(self) -> None:
         while True:
             await asyncio.sleep(_EXPIRY_S)
             if not self.leads():
                 return
+            self._forget_silent()
             before = int(time.time() * 1_000) - self.durations.retention_ms
             expired = []
             for record in self.store.job_by_id.values():
@@ -479,4 +409,4 @@
                     continue
                 expired.append(record.job.job_id)
             if expired:
-                await self._propose(ExpireJobs(tuple(expired[:_EXPIRE_AT_ONCE])))
+                await self.propose(ExpireJobs(tuple(expired[:_EXPIRE_AT_ONCE])))
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -50,6 +50,10 @@
         self._misses = 0
         self._loop_task = leadership.spawn(self._loop())
 
+    def close(self) -> None:
+        """Stop looking: the upstream has gone and runs nothing."""
+        self._loop_task.cancel()
+
     # Orders of the leadership.
 
     def add(self, track: RunTrack) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
@@ -53,7 +53,6 @@
 
     longest_lease_ms: int
     gang_patience_ms: int
-    stop_ms: int
     state_kept_s: float
     heartbeat_ms: int
     stop_grace_s: float
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -5,12 +5,22 @@
 from typing import NamedTuple
 
 from persimmonyard.jobs.commands import Placement, Seat
-from persimmonyard.jobs.configuration import JobConfiguration, Route
-from persimmonyard.jobs.fleet import Fleet, Upstream
+from persimmonyard.jobs.configuration import Route
+from persimmonyard.jobs.fleet import Fleet
 from persimmonyard.jobs.history import RunTimes
 from persimmonyard.jobs.model import GANG, Step, UnitKey
+from persimmonyard.jobs.promises import PromisedJobs
+from persimmonyard.jobs.rooms import (
+    Reservation,
+    Room,
+    Victim,
+    counted_needs,
+    free_accelerators,
+    half_free,
+    nearest_rooms,
+    reserve,
+)
 from persimmonyard.jobs.store import JobRecord, JobStore, Unit
-from persimmonyard.model import Resources
 
 __all__ = ["LiveRun", "Plan", "Planner", "Preemption"]
 
@@ -72,32 +82,6 @@
     owed: bool
 
 
-@dataclass
-class _Room:
-    """Capacity of one upstream during a plan.
-
-    ``free`` may be used now, ``soon`` once the runs that stop have ended.
-    """
-
-    upstream: Upstream
-    free: Resources
-    soon: Resources
-    held: bool = False
-
-
-def _fits(needs: Resources, room: Resources) -> bool:
-    return (
-        needs.accelerators <= room.accelerators
-        and needs.cores <= room.cores
-        and needs.memory_mb <= room.memory_mb
-    )
-
-
-def _counted(step: Step) -> Resources:
-    """Return what a task of the step takes from a capacity."""
-    return step.needs._replace(cores=0) if step.fills else step.needs
-
-
 class Planner:
     """Place units by priority and objective, and preempt where it is owed."""
 
@@ -117,12 +101,12 @@
         configuration = self._store.configuration
         if configuration is None:
             return plan
-        owed = _Owed(self._store, configuration)
+        owed = PromisedJobs(self._store, configuration)
         waits = self._in_order(wall_ms, owed)
         if not waits:
             return plan
         rooms = self._rooms(runs, now)
-        self._half_free = _half_free(rooms)
+        self._half_free = half_free(rooms)
         self._counts_by_step = {}
         held = 0
         misfits: set[tuple] = set()
@@ -150,7 +134,7 @@
 
     # Order.
 
-    def _in_order(self, wall_ms: int, owed: "_Owed") -> list[_Wait]:
+    def _in_order(self, wall_ms: int, owed: PromisedJobs) -> list[_Wait]:
         waits: list[_Wait] = []
         self.next_due_ms = None
         ready_by_step: dict[tuple[str, int, int], bool] = {}
@@ -211,7 +195,7 @@
 
     def _rooms(
         self, runs: dict[tuple[UnitKey, int], LiveRun], now: float
-    ) -> dict[str, _Room]:
+    ) -> dict[str, Room]:
         rooms = {}
         for upstream_id, upstream in self._fleet.by_id.items():
             if not self._fleet.fresh(upstream, now):
@@ -225,17 +209,17 @@
             ).items():
                 record = self._store.job_by_id[name.job_id]
                 step = record.job.steps[name.step]
-                needs = _counted(step)
+                needs = counted_needs(step)
                 free = free.minus(needs)
                 live = runs.get((name.unit(step.gang), run))
                 if live is None or not live.stopping:
                     soon = soon.minus(needs)
-            rooms[upstream_id] = _Room(upstream, free, soon)
+            rooms[upstream_id] = Room(upstream, free, soon)
         return rooms
 
     def _candidates(
-        self, wait: _Wait, step: Step, rooms: dict[str, _Room], now: float
-    ) -> list[_Room]:
+        self, wait: _Wait, step: Step, rooms: dict[str, Room], now: float
+    ) -> list[Room]:
         found = []
         for room in rooms.values():
             report = room.upstream.report
@@ -254,7 +238,7 @@
 
     # Seats.
 
-    def _seat(self, wait: _Wait, step: Step, candidates: list[_Room]) -> list[Seat]:
+    def _seat(self, wait: _Wait, step: Step, candidates: list[Room]) -> list[Seat]:
         """Return a seat for each task of the unit, or nothing."""
         tasks = range(step.count) if wait.key.task == GANG else [wait.key.task]
         patience_s = _NEAR_PATIENCE * self._times.task_ms(wait.record.job, step) / _MS
@@ -264,7 +248,10 @@
             patience_s = min(patience_s, _IDLE_PATIENCE_S)
         possible_near = False
         for group, near in self._groups(step, candidates, len(tasks)):
-            if near and _nearest(_counted(step), len(tasks), group) is not None:
+            if (
+                near
+                and nearest_rooms(counted_needs(step), len(tasks), group) is not None
+            ):
                 possible_near = True
             if not near and possible_near and wait.waited_s < patience_s:
                 return []
@@ -274,10 +261,10 @@
         return []
 
     def _groups(
-        self, step: Step, candidates: list[_Room], tasks: int
-    ) -> Iterable[tuple[list[_Room], bool]]:
+        self, step: Step, candidates: list[Room], tasks: int
+    ) -> Iterable[tuple[list[Room], bool]]:
         """Return sets of rooms to try in turn, and if they are near enough."""
-        by_rack: dict[str, list[_Room]] = {}
+        by_rack: dict[str, list[Room]] = {}
         for room in candidates:
             by_rack.setdefault(room.upstream.report.rack, []).append(room)
         if step.rack:
@@ -285,7 +272,7 @@
             yield candidates, False
             return
         if step.one_rack and tasks > 1:
-            racks = sorted(by_rack.values(), key=_free_accelerators)
+            racks = sorted(by_rack.values(), key=free_accelerators)
             for group in racks:
                 yield group, True
             yield candidates, False
@@ -293,16 +280,16 @@
         yield candidates, True
 
     def _fill(
-        self, key: UnitKey, step: Step, tasks: list[int], rooms: list[_Room]
+        self, key: UnitKey, step: Step, tasks: list[int], rooms: list[Room]
     ) -> list[Seat]:
-        needs = _counted(step)
+        needs = counted_needs(step)
         count_by_id = self._step_counts(key, step)
-        taken: list[tuple[_Room, Seat]] = []
+        taken: list[tuple[Room, Seat]] = []
         for task in tasks:
             best = None
             for room in rooms:
                 report = room.upstream.report
-                if not _fits(needs, room.free) or not _fits(needs, room.soon):
+                if not needs.fits(room.free) or not needs.fits(room.soon):
                     continue
                 count = count_by_id.get(report.upstream_id, 0)
                 if step.per_upstream and count >= step.per_upstream:
@@ -350,18 +337,18 @@
                     counts[name] = counts.get(name, 0) + 1
         return counts
 
-    def _hold(self, step: Step, candidates: list[_Room]) -> int:
+    def _hold(self, step: Step, candidates: list[Room]) -> int:
         """Keep the rooms that are nearest to fitting a unit for it.
 
         Returns 0 if the unit would not fit into empty rooms either.
         """
-        needs = _counted(step)
+        needs = counted_needs(step)
         tasks = step.count if step.gang else 1
-        best: tuple[int, list[_Room]] | None = None
+        best: tuple[int, list[Room]] | None = None
         for group, near in self._groups(step, candidates, tasks):
             if best is not None and not near:
                 break
-            chosen = _nearest(needs, tasks, group)
+            chosen = nearest_rooms(needs, tasks, group)
             if chosen is not None and (best is None or chosen[0] < best[0]):
                 best = chosen
         if best is None:
@@ -376,24 +363,24 @@
         self,
         wait: _Wait,
         step: Step,
-        candidates: list[_Room],
+        candidates: list[Room],
         runs: dict[tuple[UnitKey, int], LiveRun],
-        owed: "_Owed",
+        owed: PromisedJobs,
         plan: Plan,
     ) -> bool:
         """Reserve what is being freed, or stop runs; return if it will fit."""
         if not wait.owed:
             return False
         tasks = step.count if wait.key.task == GANG else 1
-        victims_by_id: dict[str, list[_Victim]] = {}
+        victims_by_id: dict[str, list[Victim]] = {}
         for room in candidates:
             upstream_id = room.upstream.report.upstream_id
             victims_by_id[upstream_id] = self._victims(room, runs, owed)
-        best: _Reservation | None = None
+        best: Reservation | None = None
         for group, near in self._groups(step, candidates, tasks):
             if best is not None and not near:
                 break
-            found = _reserve(_counted(step), tasks, group, victims_by_id)
+            found = reserve(counted_needs(step), tasks, group, victims_by_id)
             if found is not None and (best is None or found.cost < best.cost):
                 best = found
         if best is None:
@@ -406,10 +393,10 @@
 
     def _victims(
         self,
-        room: _Room,
+        room: Room,
         runs: dict[tuple[UnitKey, int], LiveRun],
-        owed: "_Owed",
-    ) -> list["_Victim"]:
+        owed: PromisedJobs,
+    ) -> list[Victim]:
         found = []
         upstream_id = room.upstream.report.upstream_id
         for name, run in self._store.seats_by_upstream.get(upstream_id, {}):
@@ -427,159 +414,6 @@
             # Preempting urgent work comes after preempting any other.
             cost = tasks * weight * (live.worked_s + 0.2)
             cost *= 10.0 if route.priority == 0 else 1.0
-            found.append(_Victim(cost, key, run, _counted(step), live))
+            found.append(Victim(cost, key, run, counted_needs(step)))
         found.sort(key=lambda victim: victim.cost)
         return found
-
-
-class _Victim(NamedTuple):
-    """A run that may be stopped; ``needs`` is freed on this upstream."""
-
-    cost: float
-    key: UnitKey
-    run: int
-    needs: Resources
-    live: LiveRun
-
-
-@dataclass
-class _Reservation:
-    """Rooms that will fit a unit, and the runs that end for it."""
-
-    cost: float = 0.0
-    victims: list[tuple[UnitKey, int]] = field(default_factory=list)
-    soon_by_id: dict[str, tuple[_Room, Resources]] = field(default_factory=dict)
-
-    def soon(self, room: _Room) -> Resources:
-        """Return what is left of a room after this reservation."""
-        known = self.soon_by_id.get(room.upstream.report.upstream_id)
-        return room.soon if known is None else known[1]
-
-    def apply(self) -> None:
-        """Keep what is free in these rooms from other units."""
-        for room, soon in self.soon_by_id.values():
-            room.soon = soon
-            room.free = Resources(
-                min(room.free.accelerators, max(0, soon.accelerators)),
-                min(room.free.cores, max(0, soon.cores)),
-                min(room.free.memory_mb, max(0, soon.memory_mb)),
-            )
-
-
-def _reserve(
-    needs: Resources,
-    tasks: int,
-    group: list[_Room],
-    victims_by_id: dict[str, list[_Victim]],
-) -> _Reservation | None:
-    """Return the cheapest way found to fit all tasks into a group."""
-    found = _Reservation()
-    for _ in range(tasks):
-        best: tuple[float, _Room, list[_Victim]] | None = None
-        for room in group:
-            possible = victims_by_id[room.upstream.report.upstream_id]
-            choice = _cheapest(needs, found.soon(room), possible, found.victims)
-            if choice is not None and (best is None or choice[0] < best[0]):
-                best = (choice[0], room, choice[1])
-        if best is None:
-            return None
-        cost, room, chosen = best
-        soon = found.soon(room)
-        for victim in chosen:
-            found.victims.append((victim.key, victim.run))
-            soon = soon.plus(victim.needs)
-        found.cost += cost
-        upstream_id = room.upstream.report.upstream_id
-        found.soon_by_id[upstream_id] = (room, soon.minus(needs))
-    return found
-
-
-def _cheapest(
-    needs: Resources,
-    room: Resources,
-    possible: list[_Victim],
-    taken: list[tuple[UnitKey, int]],
-) -> tuple[float, list[_Victim]] | None:
-    """Return the cost and the runs whose end makes ``needs`` fit."""
-    cost = 0.0
-    chosen: list[_Victim] = []
-    if _fits(needs, room):
-        return cost, chosen
-    for victim in possible:
-        if (victim.key, victim.run) in taken:
-            continue
-        chosen.append(victim)
-        cost += victim.cost
-        room = room.plus(victim.needs)
-        if _fits(needs, room):
-            return cost, chosen
-    return None
-
-
-def _half_free(rooms: dict[str, _Room]) -> bool:
-    free = sum(room.free.accelerators for room in rooms.values())
-    total = sum(room.upstream.report.capacity.accelerators for room in rooms.values())
-    return 2 * free >= total
-
-
-def _nearest(
-    needs: Resources, tasks: int, group: list[_Room]
-) -> tuple[int, list[_Room]] | None:
-    """Return the rooms that fit all tasks once some runs have ended.
-
-    They come with the number of accelerators that have to be freed.
-    """
-    ranked = sorted(group, key=lambda room: -room.free.accelerators)
-    chosen = []
-    fitting = 0
-    busy = 0
-    for room in ranked:
-        if fitting >= tasks:
-            break
-        count = _how_many(needs, room.upstream.report.capacity)
-        if not count:
-            continue
-        chosen.append(room)
-        fitting += count
-        busy += room.upstream.report.capacity.accelerators - room.free.accelerators
-    return (busy, chosen) if fitting >= tasks else None
-
-
-def _free_accelerators(rooms: list[_Room]) -> int:
-    return sum(room.free.accelerators for room in rooms)
-
-
-def _how_many(needs: Resources, capacity: Resources) -> int:
-    counts = [1_000]
-    for need, there in zip(needs, capacity, strict=True):
-        if need > 0:
-            counts.append(there // need)
-    return min(counts)
-
-
-class _Owed:
-    """Which urgent jobs lie within the guarantee of their account."""
-
-    def __init__(self, store: JobStore, configuration: JobConfiguration):
-        self._covered: set[str] = set()
-        left = {one.name: one.guaranteed for one in configuration.accounts}
-        for record in store.job_by_id.values():
-            route = store.route_of(record)
-            if not record.live() or route is None or route.priority != 0:
-                continue
-            account = record.job.account
-            needed = _peak_accelerators(record)
-            if needed <= left.get(account, 0):
-                left[account] -= needed
-                self._covered.add(record.job.job_id)
-
-    def covers(self, record: JobRecord) -> bool:
-        """Return whether a job may reclaim capacity from others."""
-        return record.job.job_id in self._covered
-
-
-def _peak_accelerators(record: JobRecord) -> int:
-    peak = 0
-    for step in record.job.steps:
-        peak = max(peak, step.count * step.needs.accelerators)
-    return peak
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -24,7 +24,11 @@
     start_s=0.4,
     retention_ms=60_000,
     heartbeat_s=600.0,
-    stop_s=0.1,
+    notice_s=0.1,
+    drain_s=0.1,
+    beat_s=0.1,
+    election_s=0.4,
+    leader_lease_s=0.3,
 )
 CLOCK_MS = 1_000
 
--- a/test/daemon/jobs/test_leadership.py
+++ b/test/daemon/jobs/test_leadership.py
@@ -45,13 +45,13 @@
         await self.submit(step())
         name = await self.started()
         held = asyncio.Event()
-        propose = self.term.lead._propose
+        propose = self.term.lead.propose
 
         async def slow(command):
             await held.wait()
             return await propose(command)
 
-        self.term.lead._propose = slow
+        self.term.lead.propose = slow
         self.upstream.end(name, TaskEnd.DONE)
         await asyncio.sleep(0.5)
         self.assertEqual(0, self.upstream.seen)
--- /dev/null
+++ b/test/daemon/jobs/test_settings.py
@@ -0,0 +1,67 @@
+"""Tests of the settings of the job roles."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from persimmonyard.daemon.jobs.durations import durations
+from persimmonyard.daemon.jobs.settings import load_job_settings, peer_seeds
+from persimmonyard.model import UserError
+
+GOOD = """
+[process]
+name = "core-1"
+role = "job-control"
+zone = "z1"
+[addresses]
+ip = "10.1.0.2"
+peer_port = 7000
+control = "10.1.0.2:8526"
+[group]
+seeds = ["10.1.0.2:8526", "10.2.0.2:8526"]
+first_start = true
+data_folder = "data"
+[bounds]
+longest_lease_ms = 10000
+gang_patience_ms = 3000
+state_kept_s = 120
+heartbeat_ms = 1500
+stop_grace_s = 6
+contact_ms = 3000
+"""
+
+
+class JobSettingsTests(unittest.TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text(text)
+            return load_job_settings(path)
+
+    def test_good_settings_are_read(self):
+        """Guards against a process that calls its peers at a wrong port."""
+        settings = self.load(GOOD)
+        self.assertEqual(["10.1.0.2:7000", "10.2.0.2:7000"], peer_seeds(settings))
+
+    def test_bad_settings_name_the_key(self):
+        """Guards against a process that starts with settings it can't keep."""
+        for old, new, word in (
+            ('"job-control"', '"front"', "process.role"),
+            ("heartbeat_ms = 1500", "heartbeat_ms = 0", "bounds.heartbeat_ms"),
+            ('data_folder = "data"', "", "group.data_folder"),
+            ('["10.1.0.2:8526", "10.2.0.2:8526"]', "[]", "group.seeds"),
+            ("contact_ms = 3000", "contact_ms = 3000\nextra = 1", "extra"),
+            ("[process]", "[process", "TOML"),
+        ):
+            with self.subTest(new), self.assertRaises(UserError) as caught:
+                self.load(GOOD.replace(old, new))
+            self.assertIn(word, caught.exception.message)
+
+    def test_durations_keep_the_bounds(self):
+        """Guards against a lease or a start that outlasts the platform's."""
+        bounds = self.load(GOOD).bounds
+        found = durations(bounds)
+        self.assertLessEqual(found.lease_ms, bounds.longest_lease_ms)
+        self.assertLess(found.start_s * 1_000, bounds.gang_patience_ms)
+        self.assertLess(found.order_s, found.start_s)
+        self.assertGreater(found.retention_ms, bounds.state_kept_s * 1_000)
