--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -145,7 +145,7 @@
 class Term:
     """A leadership over a store without replication."""
 
-    def __init__(self, port, store=None, fence=1):
+    def __init__(self, port, store=None, fence=1, durations=DURATIONS):
         self.store = store or JobStore()
         self.store.execute(PutConfiguration(configuration()))
         self.leading = True
@@ -153,7 +153,7 @@
         self.lead = Leadership(
             self.store,
             port,
-            DURATIONS,
+            durations,
             fence,
             self.propose,
             lambda: self.leading,
