--- a/packages/replication/src/persimmonyard/replication/__init__.py
+++ b/packages/replication/src/persimmonyard/replication/__init__.py
@@ -1,5 +1,6 @@
 """A replicated log and the storage under it."""
 
+from persimmonyard.replication.clock import steady_now
 from persimmonyard.replication.config import CoreConfig, DurableState
 from persimmonyard.replication.core import ReplicaCore
 from persimmonyard.replication.disk import Disk, FileDisk
@@ -24,7 +25,7 @@
     encode_batch,
     payload_bytes,
 )
-from persimmonyard.replication.replica import Replica, steady_now
+from persimmonyard.replication.replica import Replica
 
 __all__ = [
     "LOG_DAMAGED",
--- /dev/null
+++ b/packages/replication/src/persimmonyard/replication/clock.py
@@ -0,0 +1,14 @@
+"""The clock that leases and elections use."""
+
+import time
+
+__all__ = ["steady_now"]
+
+
+def steady_now() -> float:
+    """Return the steady clock in seconds.
+
+    Unlike the event loop's clock it counts the time for which the instance
+    was suspended, so that a lease ends meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import gc
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from typing import Any, NamedTuple
 
+from persimmonyard.replication.clock import steady_now
 from persimmonyard.replication.config import CoreConfig
 from persimmonyard.replication.core import ReplicaCore
 from persimmonyard.replication.disk import Disk
@@ -48,22 +48,13 @@
 )
 from persimmonyard.replication.messages import Chunk, EntryKind, Message, SnapshotMeta
 
-__all__ = ["Replica", "steady_now"]
+__all__ = ["Replica"]
 
 MAX_PROPOSALS_IN_FLIGHT = 4_096
 SNAPSHOT_AFTER_BYTES = 16 << 20
 TRANSFER_WAIT_S = 2.0
 
 
-def steady_now() -> float:
-    """Return the steady clock in seconds.
-
-    Unlike the event loop's clock it counts the time for which the instance
-    was suspended, so that a lease ends meanwhile.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class _Proposal(NamedTuple):
     entry: bytes
     future: asyncio.Future
