Build task names, their text and the version in one place each

A RunName was built from a UnitKey in five places, its text in four, and the version held in two. The check of the priority beside PromisedJobs.covers was redundant: only urgent jobs are covered. Behaviour is unchanged.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -82,15 +82,11 @@
                 job=call.path.rpartition("/")[2],
                 outcome=str(reply.outcome),
                 detail=reply.detail,
-                version=self._version(),
+                version=self._store.version(),
                 took_ms=int(took_s * 1_000),
             )
         return reply
 
-    def _version(self) -> int:
-        configuration = self._store.configuration
-        return configuration.version if configuration is not None else 0
-
     async def _answer(self, call: JobCall, lead: Leadership) -> CallReply:
         caller = self._identify(call)
         if isinstance(caller, CallReply):
@@ -173,7 +169,7 @@
             )
             return problem
         lead = self.lead()
-        held = self._version()
+        held = self._store.version()
         if configuration.version > held:
             await lead.commit(PutConfiguration(configuration))
         self._log.info(
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -250,7 +250,7 @@
         self.log.info(
             "run started late",
             job=track.name.job_id,
-            task=".".join(map(str, track.name[1:])),
+            task=track.name.task_text(),
             run=track.run,
             upstream=upstream.report.upstream_id,
             took_ms=int(took_s * 1_000),
@@ -270,7 +270,7 @@
         await self.propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
         upstream_id = session.upstream.report.upstream_id
         for end in ends:
-            name = RunName(end.key.job_id, end.key.occurrence, end.key.step, end.task)
+            name = end.key.run_name(end.task)
             track = session.track_by_run.pop((name, end.run), None)
             if track is None:
                 continue
@@ -285,7 +285,7 @@
         self.log.info(
             "run ended",
             job=end.key.job_id,
-            task=".".join(map(str, track.name[1:])),
+            task=track.name.task_text(),
             run=end.run,
             upstream=upstream_id,
             end=str(end.end),
@@ -336,7 +336,7 @@
             session = self._session_by_id.get(one.seat.upstream_id)
             if one.end is not None or session is None:
                 continue
-            name = RunName(key.job_id, key.occurrence, key.step, one.seat.task)
+            name = key.run_name(one.seat.task)
             track = session.track_by_run.get((name, run))
             if track is not None:
                 session.stop(track, reason)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning.py
@@ -12,7 +12,6 @@
     PlaceRuns,
     Planner,
     Preemption,
-    RunName,
     RunTimes,
     UnitKey,
 )
@@ -90,7 +89,7 @@
                 job=job_id,
                 step=f"{occurrence}.{step}",
                 seats=seats,
-                version=self._version(),
+                version=self._lead.store.version(),
                 upstreams_known=len(self._lead.fleet.by_id),
             )
 
@@ -125,7 +124,7 @@
         step = record.step_of(key)
         for seat in placement.seats:
             upstream = self._lead.fleet.by_id[seat.upstream_id]
-            name = RunName(key.job_id, key.occurrence, key.step, seat.task)
+            name = key.run_name(seat.task)
             track = RunTrack(name, placement.run, key, step, RunState.STARTING, now)
             session = self._lead.session(upstream)
             if upstream.report.incarnation != seat.incarnation:
@@ -137,7 +136,3 @@
             session.add(track)
         if not record.live():
             self._lead.stop_run(key, placement.run, "job has ended")
-
-    def _version(self) -> int:
-        configuration = self._lead.store.configuration
-        return configuration.version if configuration is not None else 0
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -73,7 +73,7 @@
         self._lead.log.info(
             "stopping run",
             job=track.name.job_id,
-            task=".".join(map(str, track.name[1:])),
+            task=track.name.task_text(),
             run=track.run,
             upstream=self.upstream.report.upstream_id,
             reason=reason,
@@ -346,7 +346,7 @@
         lead.log.info(
             "start refused",
             job=track.name.job_id,
-            task=".".join(map(str, track.name[1:])),
+            task=track.name.task_text(),
             run=track.run,
             upstream=self.upstream.report.upstream_id,
             result=str(reply.result),
--- a/packages/jobs/src/persimmonyard/jobs/model.py
+++ b/packages/jobs/src/persimmonyard/jobs/model.py
@@ -102,6 +102,10 @@
     step: int
     task: int
 
+    def run_name(self, task: int) -> "RunName":
+        """Return the name of one task of the unit."""
+        return RunName(self.job_id, self.occurrence, self.step, task)
+
 
 class RunName(NamedTuple):
     """One task of a job, as upstreams know it."""
@@ -111,6 +115,10 @@
     step: int
     task: int
 
+    def task_text(self) -> str:
+        """Return occurrence, step and task as logs show them."""
+        return f"{self.occurrence}.{self.step}.{self.task}"
+
     def unit(self, gang: bool) -> UnitKey:
         """Return the unit that the task belongs to."""
         task = GANG if gang else self.task
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -146,7 +146,7 @@
                 ready_by_step[place] = ready
             route = self._store.route_of(record)
             if ready and route is not None:
-                covered = route.priority == 0 and owed.covers(record)
+                covered = owed.covers(record)
                 waits.append(self._wait(key, unit, record, route, wall_ms, covered))
         waits.sort(key=lambda wait: wait.rank)
         return waits
@@ -407,7 +407,7 @@
             live = runs.get((key, run))
             if live is None or live.stopping or route is None:
                 continue
-            if route.priority == 0 and owed.covers(record):
+            if owed.covers(record):
                 continue
             tasks = step.count if step.gang else 1
             weight = step.needs.cores + _CORES_PER_ACCELERATOR * step.needs.accelerators
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -258,7 +258,7 @@
             self._seat(key, unit.run, one)
 
     def _seat(self, key: UnitKey, run: int, one: SeatRecord) -> None:
-        name = RunName(key.job_id, key.occurrence, key.step, one.seat.task)
+        name = key.run_name(one.seat.task)
         seats = self.seats_by_upstream.setdefault(one.seat.upstream_id, {})
         seats[(name, run)] = one
 
@@ -279,7 +279,7 @@
         self, record: JobRecord, end: RunEnd, unit: Unit, one: SeatRecord
     ) -> None:
         one.end = end.end
-        name = RunName(end.key.job_id, end.key.occurrence, end.key.step, end.task)
+        name = end.key.run_name(end.task)
         seats = self.seats_by_upstream[one.seat.upstream_id]
         del seats[(name, unit.run)]
         if not seats:
@@ -321,6 +321,10 @@
 
     # Reading.
 
+    def version(self) -> int:
+        """Return the version of the configuration, 0 without one."""
+        return self.configuration.version if self.configuration is not None else 0
+
     def route_of(self, record: JobRecord) -> Route | None:
         """Return the class of work of a job as it is configured now."""
         return self._route_by_name.get(record.job.route) or record.route
