Tell calls that were not sent from calls in doubt

Cause: an entry counted every failed call to a control process as one that may have been carried out, also when no connection came up.

Change: the connection has to be up, within 0.3 s, before a call is sent.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -24,6 +24,9 @@
 # A call inside a region takes a few ms and a commit; a lost connection shows
 # after this many seconds.
 _ATTEMPT_S = 0.9
+# A connection inside a region is up after a round trip of a few ms.  A dark
+# instance shows after this many seconds, before anything was sent to it.
+_CONNECT_S = 0.3
 # Pause before all known processes are tried again, in seconds.
 _PAUSE_S = 0.05
 # A connection that has failed is replaced; this bounds the reconnects.
@@ -116,33 +119,56 @@
     async def _attempt(
         self, address: str, call: Call, within_s: float
     ) -> CallReply | None:
-        """Return a reply, or None if the outcome is unknown."""
+        """Return a reply, or None if the outcome is unknown.
+
+        Nothing is sent before the connection is up, so that a call to a dark
+        instance is known not to have been carried out.
+        """
         channel = self._channel_by_address.get(address)
         if channel is None:
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
             self._channel_by_address[address] = channel
+        if not await _connected(channel, min(within_s, _CONNECT_S)):
+            self._drop(address, channel, "not connected")
+            return CallReply(Outcome.NOT_LEADER)
         method = channel.unary_unary(
             CALL_METHOD, request_serializer=encode, response_deserializer=decode_reply
         )
         try:
             return await method(call, timeout=within_s)
         except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
-            self._drop(address, channel, error)
+            self._drop(address, channel, _brief(error))
             return None
 
-    def _drop(self, address: str, channel: grpc.aio.Channel, error: Exception) -> None:
+    def _drop(self, address: str, channel: grpc.aio.Channel, reason: str) -> None:
         """Use a new connection next time: the old one may be silent."""
         if self._channel_by_address.get(address) is channel:
             del self._channel_by_address[address]
         if self._leader == address:
             self._leader = ""
-            self._log.warning("leader lost", address=address, error=_brief(error))
+            self._log.warning("leader lost", address=address, error=reason)
         # Calls that are still open on the channel end with their own timeout.
-        task = asyncio.create_task(channel.close(grace=_ATTEMPT_S))
+        task = asyncio.create_task(channel.close(grace=2 * _ATTEMPT_S))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
 
+async def _connected(channel: grpc.aio.Channel, within_s: float) -> bool:
+    """Return whether a channel is up, or comes up in time."""
+    state = channel.get_state(try_to_connect=True)
+    try:
+        async with asyncio.timeout(within_s):
+            while state != grpc.ChannelConnectivity.READY:
+                if state == grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                    return False
+                await channel.wait_for_state_change(state)
+                state = channel.get_state(try_to_connect=True)
+    except (TimeoutError, grpc.aio.UsageError):
+        # Another call may have closed the channel meanwhile.
+        return False
+    return True
+
+
 def _brief(error: Exception) -> str:
     if isinstance(error, grpc.aio.AioRpcError):
         return f"{error.code().name}: {error.details()}"
--- /dev/null
+++ b/test/daemon/jobs/test_leader_client.py
@@ -0,0 +1,88 @@
+"""Tests of an entry's way to the leader."""
+
+import asyncio
+import unittest
+
+import grpc
+
+from persimmonyard.daemon.jobs.calls import (
+    CallReply,
+    JobCall,
+    Outcome,
+    Verb,
+    call_handler,
+)
+from persimmonyard.daemon.jobs.leader_client import LeaderClient
+from persimmonyard.standin.deployment import reserve_port
+
+CALL = JobCall(Verb.SUBMIT, "h.example", "/p/5c0e7a21d94b36f8", "key-1")
+
+
+class LeaderClientTests(unittest.IsolatedAsyncioTestCase):
+    def client(self, *ports):
+        client = LeaderClient([f"127.0.0.1:{port}" for port in ports])
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def serve(self, answer):
+        server = grpc.aio.server()
+        server.add_generic_rpc_handlers((call_handler(answer),))
+        port = server.add_insecure_port("127.0.0.1:0")
+        await server.start()
+        self.addAsyncCleanup(server.stop, 0)
+        return port
+
+    async def test_call_that_was_not_sent_is_not_in_doubt(self):
+        """Guards against "unknown" for calls that no process received."""
+        holder = reserve_port()
+        self.addCleanup(holder.close)
+        client = self.client(holder.getsockname()[1])
+        reply = await client.call(CALL, 0.5)
+        self.assertEqual(Outcome.NOT_LEADER, reply.outcome)
+
+    async def test_silent_instance_is_not_in_doubt(self):
+        """Guards against "unknown" from an instance that never answers."""
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        client = self.client(server.sockets[0].getsockname()[1])
+        reply = await client.call(CALL, 0.7)
+        self.assertEqual(Outcome.NOT_LEADER, reply.outcome)
+
+    async def test_call_that_was_received_stays_in_doubt(self):
+        """Guards against "not run" for a call that a process has read."""
+
+        async def never(call, context):
+            await asyncio.sleep(60.0)
+
+        client = self.client(await self.serve(never))
+        reply = await client.call(CALL, 2.0)
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+
+    async def test_silent_instance_leaves_time_for_the_leader(self):
+        """Guards against a deadline spent on an instance that is dark."""
+
+        async def lead(call, context):
+            return CallReply(Outcome.OK)
+
+        dark = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.addCleanup(dark.close)
+        leading = await self.serve(lead)
+        client = self.client(dark.sockets[0].getsockname()[1], leading)
+        reply = await client.call(CALL, 10.0)
+        self.assertEqual(Outcome.OK, reply.outcome)
+
+    async def test_calls_side_by_side_survive_a_dropped_connection(self):
+        """Guards against an error in a call whose channel another closed."""
+        dark = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.addCleanup(dark.close)
+        client = self.client(dark.sockets[0].getsockname()[1])
+        calls = []
+        for _ in range(12):
+            calls.append(asyncio.create_task(client.call(CALL, 0.9)))
+            await asyncio.sleep(0.03)
+        for reply in await asyncio.gather(*calls):
+            self.assertEqual(Outcome.NOT_LEADER, reply.outcome)
+
+
+if __name__ == "__main__":
+    unittest.main()
