Weigh what a stop costs against what the waiting job gains

Change: full racks are filled first; a unit that would miss its objective by waiting stops less urgent runs if it gains more than they lose; all members of a stopped gang count as room; runs that end soon are waited for.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/tracks.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/tracks.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from persimmonyard.jobs import RunName, Step, UnitKey
+from persimmonyard.jobs import LiveRun, RunName, Step, UnitKey
 
 __all__ = ["RunState", "RunTrack"]
 
@@ -17,6 +17,8 @@
 # beginning again, in percent.
 _WORTH_WAITING_PERCENT = 50
 _DONE_PERCENT = 100
+# Progress from which the rest of a run can be told, in percent.
+_TELLING_PERCENT = 10
 
 
 class RunState(StrEnum):
@@ -53,6 +55,8 @@
     saved_at: float | None = None
     percent: int = 0
     moved_at: float = 0.0
+    first_percent: int = 0
+    first_at: float | None = None
     checkpoint: str = ""
     stop_reason: str = ""
 
@@ -61,6 +65,9 @@
         if self.began_at is None:
             self.began_at = now
             self.moved_at = now
+        if self.first_at is None and percent < _DONE_PERCENT:
+            self.first_percent = percent
+            self.first_at = now
         if percent != self.percent:
             self.percent = percent
             self.moved_at = now
@@ -82,6 +89,27 @@
             return False
         return self.step.checkpoints or self.percent < _WORTH_WAITING_PERCENT
 
+    def live_run(self, now: float) -> LiveRun:
+        """Return what the planner has to know of the run."""
+        began_at = now if self.began_at is None else self.began_at
+        return LiveRun(
+            self.state == RunState.STOPPING,
+            self.unsaved_s(now),
+            now - began_at,
+            self.left_s(now),
+        )
+
+    def left_s(self, now: float) -> float | None:
+        """Return how long the run will go on, or None if that is unknown.
+
+        Progress is taken to go on at the pace since it was first seen.
+        """
+        done = self.percent - self.first_percent
+        if self.first_at is None or done < _TELLING_PERCENT:
+            return None
+        pace = (self.moved_at - self.first_at) / done
+        return max(0.0, self.moved_at + pace * (_DONE_PERCENT - self.percent) - now)
+
     def unsaved_s(self, now: float) -> float:
         """Return how much work a stop would throw away, in seconds."""
         if self.began_at is None:
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -35,7 +35,8 @@
     TaskEnd,
     UnitKey,
 )
-from persimmonyard.jobs.planner import LiveRun, Plan, Planner, Preemption
+from persimmonyard.jobs.planner import Plan, Planner, Preemption
+from persimmonyard.jobs.preemption import LiveRun
 from persimmonyard.jobs.store import JobRecord, JobStore, SeatRecord, Unit, UnitStatus
 
 __all__ = [
--- a/packages/jobs/src/persimmonyard/jobs/history.py
+++ b/packages/jobs/src/persimmonyard/jobs/history.py
@@ -1,5 +1,6 @@
 """How long tasks run: what callers estimate, corrected by what was seen."""
 
+from persimmonyard.jobs.configuration import Route
 from persimmonyard.jobs.model import Job, Step
 
 __all__ = ["RunTimes"]
@@ -46,3 +47,7 @@
         if start:
             return tails[start]
         return max(tails)
+
+    def objective_ms(self, job: Job, route: Route) -> float:
+        """Return in which time a job should complete."""
+        return route.stretch * self.chain_ms(job, 0) + route.target_ms
