Log jobs as they are accepted and as they end

The lines give class, account, shape, time taken and objective, so that late jobs can be listed from the log; a histogram counts them by class and state.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -133,6 +133,7 @@
             submitted_ms=int(time.time() * 1_000),
         )
         await lead.commit(SubmitJob(job))
+        lead.note_accepted(job)
         return CallReply(Outcome.OK)
 
     async def _cancel(self, job_id: str, lead: Leadership) -> CallReply:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -17,10 +17,13 @@
     EndRuns,
     ExpireJobs,
     Fleet,
+    Job,
+    JobRecord,
     JobStore,
     RunEnd,
     RunName,
     RunTimes,
+    Step,
     TaskEnd,
     Unit,
     UnitKey,
@@ -267,7 +270,11 @@
 
     async def record_ends(self, session: UpstreamSession, ends: list[RunEnd]) -> None:
         """Commit ends, then act on them."""
+        live = self._live_jobs(ends)
         await self.propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
+        for record in live:
+            if not record.live():
+                self._note_job_end(record)
         upstream_id = session.upstream.report.upstream_id
         for end in ends:
             name = end.key.run_name(end.task)
@@ -278,6 +285,45 @@
             self._stop_rest(end)
         self.kick()
 
+    def _live_jobs(self, ends: list[RunEnd]) -> list[JobRecord]:
+        """Return the jobs of some ends that have not ended so far."""
+        record_by_id: dict[str, JobRecord] = {}
+        for end in ends:
+            record = self.store.job_by_id.get(end.key.job_id)
+            if record is not None and record.live():
+                record_by_id[end.key.job_id] = record
+        return list(record_by_id.values())
+
+    def _note_job_end(self, record: JobRecord) -> None:
+        """Log and count how long a job took, beside its objective."""
+        job = record.job
+        route = self.store.route_of(record)
+        took_ms = record.ended_ms - job.submitted_ms
+        objective_ms = self._times.objective_ms(job, route) if route else 0.0
+        state = str(record.state())
+        self._metrics.note_job(job.route, state, took_ms / 1_000)
+        self.log.info(
+            "job ended",
+            job=job.job_id,
+            work_class=job.route,
+            account=job.account,
+            state=state,
+            took_ms=took_ms,
+            objective_ms=int(objective_ms),
+            attempts=sum(unit.run for unit in record.units.values()),
+        )
+
+    def note_accepted(self, job: Job) -> None:
+        """Log what a caller handed in."""
+        self.log.info(
+            "job accepted",
+            job=job.job_id,
+            work_class=job.route,
+            account=job.account,
+            steps=[_shape(step) for step in job.steps],
+            occurrences=job.occurrences(),
+        )
+
     def _note_end(self, track: RunTrack, end: RunEnd, upstream_id: str) -> None:
         now = self.now()
         self._metrics.note_end(str(end.end))
@@ -410,3 +456,21 @@
                 expired.append(record.job.job_id)
             if expired:
                 await self.propose(ExpireJobs(tuple(expired[:_EXPIRE_AT_ONCE])))
+
+
+def _shape(step: Step) -> str:
+    """Return tasks, needs and conditions of a step as logs show them."""
+    needs = step.needs
+    shape = f"{step.count}x{needs.accelerators}gpu/{needs.cores}m/{needs.memory_mb}MB"
+    marks = [
+        name
+        for name in ("gang", "one_rack", "checkpoints", "long_running", "fills")
+        if getattr(step, name)
+    ]
+    if step.rack:
+        marks.append(f"rack={step.rack}")
+    if step.label:
+        marks.append(f"label={step.label}")
+    if step.per_upstream:
+        marks.append(f"per_upstream={step.per_upstream}")
+    return " ".join([shape, f"{step.estimate_ms}ms", *marks])
--- a/packages/daemon/src/persimmonyard/daemon/jobs/metrics.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/metrics.py
@@ -24,6 +24,9 @@
         self._starts = self._histogram(
             "run_start_seconds", "Time from placement to start, by class of work."
         )
+        self._job_s = self._histogram(
+            "job_seconds", "Time from acceptance to end, by class of work and state."
+        )
         self._ends = self._counter("run_ends_total", "Runs by how they ended.")
         self._events = self._counter(
             "scheduling_events_total", "Preemptions, stalls, refusals and the like."
@@ -53,6 +56,10 @@
         """Record a run that an upstream has started."""
         self._starts.observe({"class": work_class}, seconds)
 
+    def note_job(self, work_class: str, state: str, seconds: float) -> None:
+        """Record the end of a job."""
+        self._job_s.observe({"class": work_class, "state": state}, seconds)
+
     def note_end(self, end: str) -> None:
         """Record the end of a run."""
         self._ends.inc({"end": end})
