Stop costly runs for promised work only when its time runs out

Change: promised work weighs cost against gain like other urgent work for one second, then stops others at any cost. Wasted work counts 1.4 times, because its repetition takes capacity as well.

--- a/packages/jobs/src/persimmonyard/jobs/preemption.py
+++ b/packages/jobs/src/persimmonyard/jobs/preemption.py
@@ -28,6 +28,12 @@
 _LAST_MOMENT_MS = 2_000
 # A run that is expected to end in less time is not worth a stop, in seconds.
 _ENDS_SOON_S = 0.6
+# Wasted work is paid for, and its repetition takes capacity from other work.
+_REDO_FACTOR = 1.4
+# Promised work stops others at any cost after this long, in seconds: it has
+# to begin within the platform's bound for reclaiming (2.7 s), of which the
+# stops take 0.9 s at the most.
+_OWED_PATIENCE_S = 1.0
 # Seconds that stopping and starting again cost besides the work itself.
 _RESTART_S = 0.2
 # Other urgent work is stopped last for promised work.
@@ -141,7 +147,7 @@
 
         It is in core-seconds of wasted work; 0 while the unit can wait.
         """
-        if wait.owed:
+        if wait.owed and wait.waited_s >= _OWED_PATIENCE_S:
             return float("inf")
         work_s = self._times.task_ms(wait.record.job, wait.step) / _MS
         work = wait.task_count() * work_weight(wait.step) * work_s
@@ -238,7 +244,7 @@
         live = self._runs[(key, run)]
         step = record.step_of(key)
         weight = work_weight(step) * (step.count if step.gang else 1)
-        cost = weight * (live.worked_s + _RESTART_S)
+        cost = _REDO_FACTOR * weight * (live.worked_s + _RESTART_S)
         deadlines = Deadlines.of(record, route, key, self._wall_ms, self._times)
         # What has been worked is done, until it is thrown away.
         slack_ms = deadlines.slack_ms + live.ran_s * _MS
