Use the time until an upstream leaves

Cause: a leaving upstream stopped all runs that save their work at once, even those about to end, and went on with runs that could not end in time and were lost.

Change: runs that cannot end begin elsewhere at once, runs that save their work go on until 1.2 s before the upstream leaves, the others end there. Tests: three in test_leadership.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
@@ -15,6 +15,9 @@
 # An order within a region is answered in a few ms; a lost one is repeated
 # early enough for several attempts within the patience of a gang.
 _ORDER_SHARE = 0.15
+# Runs that save their work are stopped this long before their upstream
+# leaves: a stop takes up to 0.9 s, 0.3 of the patience of a gang.
+_LEAVE_SHARE = 0.4
 # The load balancer polls once a second and takes an instance out after two
 # misses: with a grace of 6 s, calls are served for 2.3 s after a stop begins,
 # and those in progress get 2.7 s more.
@@ -42,6 +45,7 @@
     wait_ms: int
     order_s: float
     start_s: float
+    leave_s: float
     retention_ms: int
     heartbeat_s: float
     notice_s: float
@@ -58,6 +62,7 @@
         wait_ms=MAX_WAIT_MS,
         order_s=bounds.gang_patience_ms * _ORDER_SHARE / 1_000,
         start_s=bounds.gang_patience_ms * _START_SHARE / 1_000,
+        leave_s=bounds.gang_patience_ms * _LEAVE_SHARE / 1_000,
         retention_ms=int(bounds.state_kept_s * 1_000 * _RETENTION_SHARE),
         heartbeat_s=bounds.heartbeat_ms / 1_000,
         notice_s=bounds.stop_grace_s * _NOTICE_SHARE,
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -196,22 +196,44 @@
                 upstream=report.upstream_id,
                 remaining_ms=report.remaining_ms,
             )
-            self._empty(upstream)
+            self.spawn(self._empty(upstream, report.remaining_ms / 1_000))
         self.kick()
 
     def _is_leaving(self, upstream_id: str) -> bool:
         known = self.fleet.by_id.get(upstream_id)
         return known is not None and known.report.leaving
 
-    def _empty(self, upstream: Upstream) -> None:
-        """Stop what can go on elsewhere from a checkpoint."""
+    async def _empty(self, upstream: Upstream, remaining_s: float) -> None:
+        """Move what cannot end before an upstream leaves.
+
+        Work that would be lost begins again elsewhere at once.  Runs that
+        save their work go on until the last moment.
+        """
         session = self._session_by_id.get(upstream.report.upstream_id)
         if session is None:
             return
+        for track in list(session.track_by_run.values()):
+            if not track.step.checkpoints and not self._ends_within(track, remaining_s):
+                self.stop_run(track.key, track.run, "upstream leaves")
+        await asyncio.sleep(max(0.0, remaining_s - self.durations.leave_s))
+        if session.upstream is not upstream:
+            return
         for track in list(session.track_by_run.values()):
             if track.step.checkpoints:
                 self.stop_run(track.key, track.run, "upstream leaves")
 
+    def _ends_within(self, track: RunTrack, seconds: float) -> bool:
+        """Return whether a run will probably end in time."""
+        now = self.now()
+        left_s = track.left_s(now)
+        if left_s is None:
+            record = self.store.job_by_id.get(track.name.job_id)
+            if record is None or track.began_at is None:
+                return False
+            task_s = self._times.task_ms(record.job, track.step) / 1_000
+            left_s = max(0.0, track.began_at + task_s - now)
+        return left_s < seconds
+
     async def depart(self, upstream_id: str) -> None:
         """Take the word of a leaving upstream that it has ended."""
         upstream = self.fleet.by_id.get(upstream_id)
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -22,6 +22,7 @@
     wait_ms=200,
     order_s=0.1,
     start_s=0.4,
+    leave_s=0.2,
     retention_ms=60_000,
     heartbeat_s=600.0,
     notice_s=0.1,
--- a/test/daemon/jobs/test_leadership.py
+++ b/test/daemon/jobs/test_leadership.py
@@ -168,6 +168,35 @@
         await self.term.lead.depart("u1")
         await until(lambda: other.started)
 
+    async def leave(self, remaining_ms, *steps):
+        """Run steps on an upstream that then leaves for another one."""
+        self.term.report("u1")
+        other = self.port.add("u2")
+        await self.submit(*steps)
+        await self.started()
+        self.term.report("u2")
+        self.term.report("u1", sequence=2, leaving=True, remaining_ms=remaining_ms)
+        return other
+
+    async def test_run_that_ends_before_its_upstream_leaves_goes_on(self):
+        """Guards against work thrown away although there is time for it."""
+        await self.leave(60_000, step(estimate_ms=2_000))
+        await asyncio.sleep(0.5)
+        self.assertEqual([], self.upstream.ended)
+
+    async def test_run_that_cannot_end_in_time_begins_elsewhere_at_once(self):
+        """Guards against seconds spent on work that will be lost."""
+        other = await self.leave(30_000, step(estimate_ms=90_000))
+        await until(lambda: other.started)
+
+    async def test_saved_work_moves_shortly_before_its_upstream_leaves(self):
+        """Guards against idle time while the upstream could still work."""
+        other = await self.leave(1_000, step(estimate_ms=90_000, checkpoints=True))
+        await asyncio.sleep(0.3)
+        self.assertEqual([], self.upstream.ended)
+        await until(lambda: other.started)
+        self.assertEqual("saved", other.started[0][2])
+
 
 class TakeOverTests(unittest.IsolatedAsyncioTestCase):
     async def take_over(self, port, store):
