Add a soak of the job service with real processes

A process can listen on another address than the published one (addresses.bind_ip), so that a relay can stand before it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOLS := .tools
 UV := $(TOOLS)/bin/uv
 PYTHON := .venv/bin/python
-PATHS := packages platform test bench
+PATHS := packages platform soak test bench
 
 .PHONY: setup test lint format types demo bench generate
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -130,7 +130,8 @@
         self._server = grpc.aio.server(options=MESSAGE_OPTIONS)
         self._server.add_generic_rpc_handlers((call_handler(self._answer),))
         self._transport.register(self._server)
-        self._server.add_insecure_port(self.peer_address(self.name))
+        host, port = self._settings.addresses.listen_on(self.peer_address(self.name))
+        self._server.add_insecure_port(f"{host}:{port}")
         try:
             await self._replica.start()
         except LogDamagedError as error:
@@ -139,9 +140,9 @@
             return
         gc.freeze()
         await self._server.start()
-        host, _, port = self.own_address().rpartition(":")
+        host, port = self._settings.addresses.listen_on(self.own_address())
         self._http = HttpServer(
-            self._build_app(self), host, int(port), self._durations.drain_s
+            self._build_app(self), host, port, self._durations.drain_s
         )
         await self._http.start()
         await self._start_inspection()
@@ -168,7 +169,10 @@
         )
         addresses = self._settings.addresses
         self._inspection = inspection_server(
-            self._metrics, self._dump, addresses.ip, addresses.metrics_port
+            self._metrics,
+            self._dump,
+            addresses.bind_ip or addresses.ip,
+            addresses.metrics_port,
         )
         await self._inspection.start()
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -61,7 +61,10 @@
         await self._callers.start()
         await self._readiness.start()
         self._inspection = inspection_server(
-            self.metrics, self._dump, addresses.ip, addresses.metrics_port
+            self.metrics,
+            self._dump,
+            addresses.bind_ip or addresses.ip,
+            addresses.metrics_port,
         )
         await self._inspection.start()
         self._log.info("listening", callers=addresses.callers)
@@ -116,5 +119,5 @@
         self._reached = reached
 
     def _server(self, app: Any, address: str) -> HttpServer:
-        host, _, port = address.rpartition(":")
-        return HttpServer(app, host, int(port), self._durations.drain_s)
+        host, port = self._settings.addresses.listen_on(address)
+        return HttpServer(app, host, port, self._durations.drain_s)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
@@ -24,8 +24,9 @@
 class AddressSettings(msgspec.Struct, forbid_unknown_fields=True):
     """Where the process listens, as "IP:PORT"; empty where it does not.
 
-    ``peers`` is the first port for calls between the project's own processes;
-    it is the same on all instances.
+    ``peer_port`` is for calls between the project's own processes; it is the
+    same on all instances.  With ``bind_ip`` the process listens there, and
+    others reach it under the addresses above through a relay or a NAT.
     """
 
     ip: str
@@ -34,6 +35,12 @@
     readiness: str = ""
     control: str = ""
     metrics_port: int = 0
+    bind_ip: str = ""
+
+    def listen_on(self, address: str) -> tuple[str, int]:
+        """Return host and port to bind for a published address."""
+        host, _, port = address.rpartition(":")
+        return self.bind_ip or host, int(port)
 
 
 class GroupSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/packages/standin/src/persimmonyard/standin/relay.py
+++ b/packages/standin/src/persimmonyard/standin/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that counts bytes and can silently cut a connection."""
+"""A TCP relay that counts bytes, and delays, cuts or resets connections."""
 
 import asyncio
 import threading
@@ -16,14 +16,23 @@
 
     While a direction is cut, its bytes are read by nobody: connections stay
     open and silent, as behind a network partition.  ``bytes_up`` counts what
-    clients sent and ``bytes_down`` what they received.
+    clients sent and ``bytes_down`` what they received.  Each piece of data is
+    held for ``delay_s`` seconds.
 
     Example: ``relay = Relay(target_port)``, connect to ``relay.port``, then
     ``relay.cut()`` and ``relay.restore()``.
     """
 
-    def __init__(self, target_port: int):
-        self._target_port = target_port
+    def __init__(
+        self,
+        target_port: int,
+        target_host: str = "127.0.0.1",
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ):
+        self._target = (target_host, target_port)
+        self._listen = (host, port)
+        self.delay_s = 0.0
         self.bytes_up = 0
         self.bytes_down = 0
         self._loop = asyncio.new_event_loop()
@@ -42,6 +51,10 @@
         """Forward in both directions again."""
         self._call(self._set(True, True))
 
+    def reset(self) -> None:
+        """Abort all open connections; new ones are forwarded."""
+        self._call(self._abort())
+
     def close(self) -> None:
         """Close the port and all connections."""
         self._call(self._stop())
@@ -55,10 +68,14 @@
 
     async def _start(self) -> int:
         await self._set(True, True)
-        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._connected, *self._listen)
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
+    async def _abort(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+
     async def _stop(self) -> None:
         self._server.close()
         tasks = list(self._tasks)
@@ -93,9 +110,7 @@
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        target_reader, target_writer = await asyncio.open_connection(
-            "127.0.0.1", self._target_port
-        )
+        target_reader, target_writer = await asyncio.open_connection(*self._target)
         copies = {
             asyncio.create_task(self._copy_up(reader, target_writer)),
             asyncio.create_task(self._copy_down(target_reader, writer)),
@@ -111,7 +126,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
-            await self._up_open.wait()
+            await self._hold_back(self._up_open)
             self.bytes_up += len(data)
             writer.write(data)
             await writer.drain()
@@ -120,7 +135,12 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
-            await self._down_open.wait()
+            await self._hold_back(self._down_open)
             self.bytes_down += len(data)
             writer.write(data)
             await writer.drain()
+
+    async def _hold_back(self, is_open: asyncio.Event) -> None:
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        await is_open.wait()
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes on loopback under injected faults."""
