Wait for a full disk instead of exiting at every start

Closing the log raised once more, because the buffer of the file still held what the disk had refused, so the process ended with status 1 and the reason was not logged.

Change: the log is written without a buffer and a partial write is an error; the reason of a disk failure is logged; the process tries the disk every 0.5 s for 10 s before it exits. Test: FullDiskTests, seen to fail before (a partial write passed).

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import os
 import random
 import time
 from collections.abc import Callable
@@ -32,6 +33,7 @@
 from persimmonyard.jobs import Command, JobStore, encode_command
 from persimmonyard.replication import (
     LOG_DAMAGED,
+    SYNC_FAILED,
     CoreConfig,
     FileDisk,
     LogDamagedError,
@@ -51,6 +53,12 @@
 # A voter that is silent for longer than a restart takes may be replaced.
 _SILENCE_S = 3.0
 _LEAST_VOTERS = 4
+# A disk that has failed is tried this often, pause in seconds, before the
+# process exits to be started again.
+_DISK_CHECKS = 20
+_DISK_CHECK_S = 0.5
+_PROBE_NAME = "probe"
+_PROBE_BYTES = 65_536
 # Candidates start at different times within this factor.
 _ELECTION_SPREAD = 1.6
 
@@ -191,7 +199,9 @@
 
     def _fail(self, code: int) -> None:
         if not self.failure.done():
-            self._log.error("replica stopped", code=int(code))
+            self._log.error(
+                "replica stopped", code=int(code), error=str(self._replica.disk_error)
+            )
             self.failure.set_result(code)
 
     def reload(self) -> None:
@@ -209,6 +219,24 @@
             await self._inspection.stop()
         await self._server.stop(0.2)
         await self._port.close()
+        if self.failure.done() and self.failure.result() == SYNC_FAILED:
+            await self._wait_for_disk()
+
+    async def _wait_for_disk(self) -> None:
+        """Wait until the disk takes writes again, or for some seconds.
+
+        A process that starts on a full disk fails at its first write.
+        """
+        folder = Path(self._settings.group.data_folder)
+        for _ in range(_DISK_CHECKS):
+            try:
+                await asyncio.to_thread(_write_probe, folder)
+            except OSError as error:
+                self._log.warning("disk refuses writes", error=str(error))
+                await asyncio.sleep(_DISK_CHECK_S)
+                continue
+            self._log.info("disk takes writes")
+            return
 
     # Leadership.
 
@@ -337,3 +365,15 @@
             return CallReply(Outcome.UNKNOWN)
         self._log.info("member added", member=call.name)
         return CallReply(Outcome.OK)
+
+
+def _write_probe(folder: Path) -> None:
+    """Write as much as a frame of the log, durably, and remove it again."""
+    path = folder / _PROBE_NAME
+    try:
+        with open(path, "wb") as probe:
+            probe.write(bytes(_PROBE_BYTES))
+            probe.flush()
+            os.fsync(probe.fileno())
+    finally:
+        path.unlink(missing_ok=True)
--- a/packages/replication/src/persimmonyard/replication/log_file.py
+++ b/packages/replication/src/persimmonyard/replication/log_file.py
@@ -1,8 +1,10 @@
 """The log file: frames with length and checksum, one for each sync."""
 
+import errno
 import os
 import struct
 import zlib
+from io import FileIO
 from pathlib import Path
 
 import msgspec
@@ -31,7 +33,7 @@
 
     def __init__(self, path: Path):
         self._path = path
-        self._file = open(path, "r+b")  # noqa: SIM115
+        self._file = _open(path)
 
     def read(self) -> list[Record]:
         """Return all records and cut a torn tail.
@@ -63,9 +65,14 @@
             later = data.find(_MAGIC, later + 1)
 
     def append(self, records: list[Record]) -> None:
-        """Write records as one frame without making them durable."""
-        self._file.write(_frame(self._file.tell(), records))
-        self._file.flush()
+        """Write records as one frame without making them durable.
+
+        Raises ``OSError`` if the disk takes only a part of it.
+        """
+        frame = _frame(self._file.tell(), records)
+        written = self._file.write(frame)
+        if written != len(frame):
+            raise OSError(errno.ENOSPC, f"{written} of {len(frame)} bytes were written")
 
     def sync(self) -> None:
         """Make everything written so far durable."""
@@ -75,7 +82,7 @@
         """Replace the file by one that holds ``records``, durably."""
         replace_file(self._path, [_frame(0, records)])
         self._file.close()
-        self._file = open(self._path, "r+b")  # noqa: SIM115
+        self._file = _open(self._path)
         self._file.seek(0, os.SEEK_END)
 
     def close(self) -> None:
@@ -83,6 +90,14 @@
         self._file.close()
 
 
+def _open(path: Path) -> FileIO:
+    """Open a log without a buffer, so that nothing is left to write later.
+
+    What a full disk refused must not be written when the file is closed.
+    """
+    return open(path, "r+b", buffering=0)
+
+
 def _header_checksum(position: int, length: int) -> int:
     return zlib.crc32(_OFFSET.pack(position, length))
 
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -85,6 +85,8 @@
         self._transport = transport
         self._machine = machine
         self._on_failure = on_failure
+        # Why the disk failed, once it has.
+        self.disk_error: Exception | None = None
         self._slots = asyncio.Semaphore(MAX_PROPOSALS_IN_FLIGHT)
         self._proposals: list[_Proposal] = []
         self._waiting_by_index: dict[int, _Waiting] = {}
@@ -311,8 +313,9 @@
         self._changes = []
         try:
             await self._in_disk_thread(self._disk.commit, changes)
-        except Exception:
+        except Exception as error:
             # Whatever went wrong, the changes may not be durable.
+            self.disk_error = error
             self._step(SyncFailed())
             return
         self._step(Synced(token))
--- a/test/replication/test_storage.py
+++ b/test/replication/test_storage.py
@@ -124,6 +124,34 @@
         self.assertEqual(len(self.loaded()), 3)
 
 
+class FullDisk:
+    """A log file that takes half of what is written, as a full disk does."""
+
+    def __init__(self, file):
+        self.file = file
+
+    def write(self, data):
+        return self.file.write(data[: len(data) // 2])
+
+    def __getattr__(self, name):
+        return getattr(self.file, name)
+
+
+class FullDiskTests(StorageTestCase):
+    def test_partial_write_fails_and_closing_writes_nothing(self):
+        """Guards against refused records that reach the disk later on."""
+        disk, _ = self.open()
+        disk.commit([Write(entries(1, 2))])
+        log = disk._log
+        log._file = FullDisk(log._file)
+        with self.assertRaises(OSError):
+            disk.commit([Write(entries(3, 2))])
+        size = (self.folder / "log").stat().st_size
+        disk.close()
+        self.assertEqual(size, (self.folder / "log").stat().st_size)
+        self.assertEqual(self.loaded(), [b"entry-1", b"entry-2"])
+
+
 class SnapshotFileTests(StorageTestCase):
     META = SnapshotMeta(7, 2, Members({"a": "0", "b": "0"}))
 
