Ask other control processes when the leader is silent

Change: after 0.3 s without an answer an entry asks the other control processes in the background and moves its calls to the one that leads. Test: test_silent_leader_is_left_for_its_successor, seen to fail before.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -27,6 +27,9 @@
 # A connection inside a region is up after a round trip of a few ms.  A dark
 # instance shows after this many seconds, before anything was sent to it.
 _CONNECT_S = 0.3
+# A leader that has not answered for this long may have been replaced, so the
+# others are asked; a commit takes a few syncs of 9 ms.
+_PATIENCE_S = 0.3
 # Pause before all known processes are tried again, in seconds.
 _PAUSE_S = 0.05
 # A connection that has failed is replaced; this bounds the reconnects.
@@ -53,6 +56,8 @@
         self._closing: set[asyncio.Task] = set()
         self._log = get_logger("leader")
         self.heard_at = float("-inf")
+        # The search for another leader while the known one is silent.
+        self._search: asyncio.Task[str] | None = None
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Take further addresses to look for the leader at."""
@@ -62,6 +67,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        if self._search is not None:
+            self._search.cancel()
         for channel in self._channel_by_address.values():
             await channel.close()
 
@@ -86,7 +93,7 @@
                 await asyncio.sleep(min(left, _PAUSE_S * random.uniform(0.5, 1.5)))
                 continue
             tried.add(address)
-            reply = await self._attempt(address, call, min(left, _ATTEMPT_S))
+            reply = await self._attempt_or_move(address, call, min(left, _ATTEMPT_S))
             if reply is None or reply.outcome == Outcome.UNKNOWN:
                 in_doubt = in_doubt or isinstance(call, JobCall)
                 continue
@@ -116,6 +123,47 @@
         self._leader = address
         self.heard_at = steady_now()
 
+    async def _attempt_or_move(
+        self, address: str, call: Call, within_s: float
+    ) -> CallReply | None:
+        """Return a reply, or None once another process is known to lead.
+
+        None says as well that the outcome is unknown.
+        """
+        attempt = asyncio.create_task(self._attempt(address, call, within_s))
+        try:
+            await asyncio.wait({attempt}, timeout=_PATIENCE_S)
+            if not attempt.done() and address == self._leader:
+                search = self._search_other(address)
+                await asyncio.wait(
+                    {attempt, search}, return_when=asyncio.FIRST_COMPLETED
+                )
+            if not attempt.done() and self._leader not in ("", address):
+                return None
+            return await attempt
+        finally:
+            attempt.cancel()
+
+    def _search_other(self, silent: str) -> asyncio.Task[str]:
+        """Return the one search that runs for all calls."""
+        if self._search is None or self._search.done():
+            self._search = asyncio.create_task(self._find_other(silent))
+        return self._search
+
+    async def _find_other(self, silent: str) -> str:
+        """Ask the other processes until one leads, or the leader answers."""
+        began_at = steady_now()
+        while self._leader == silent and self.heard_at < began_at:
+            for address in self._known:
+                if address == silent:
+                    continue
+                reply = await self._attempt(address, Probe(), _CONNECT_S)
+                if reply is not None and reply.outcome != Outcome.NOT_LEADER:
+                    self._note_leader(address)
+                    break
+            await asyncio.sleep(_PAUSE_S)
+        return self._leader
+
     async def _attempt(
         self, address: str, call: Call, within_s: float
     ) -> CallReply | None:
--- a/test/daemon/jobs/test_leader_client.py
+++ b/test/daemon/jobs/test_leader_client.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import grpc
 
+from persimmonyard.daemon.jobs import leader_client
 from persimmonyard.daemon.jobs.calls import (
     CallReply,
     JobCall,
     Outcome,
+    Probe,
     Verb,
     call_handler,
 )
@@ -71,6 +74,42 @@
         reply = await client.call(CALL, 10.0)
         self.assertEqual(Outcome.OK, reply.outcome)
 
+    async def test_silent_leader_is_left_for_its_successor(self):
+        """Guards against a deadline spent on a leader that was replaced."""
+        frozen = asyncio.Event()
+
+        async def first(call, context):
+            if frozen.is_set():
+                await asyncio.sleep(60.0)
+            return CallReply(Outcome.OK)
+
+        async def second(call, context):
+            return CallReply(Outcome.OK if frozen.is_set() else Outcome.NOT_LEADER)
+
+        client = self.client(await self.serve(first), await self.serve(second))
+        self.assertEqual(Outcome.OK, (await client.call(CALL, 10.0)).outcome)
+        frozen.set()
+        with mock.patch.object(leader_client, "_ATTEMPT_S", 30.0):
+            reply = await client.call(CALL, 30.0)
+        self.assertEqual(Outcome.OK, reply.outcome)
+
+    async def test_slow_leader_is_waited_for(self):
+        """Guards against a call given up because a commit takes long."""
+
+        async def slow(call, context):
+            await asyncio.sleep(0.0 if isinstance(call, Probe) else 0.6)
+            return CallReply(Outcome.OK)
+
+        async def follow(call, context):
+            return CallReply(Outcome.NOT_LEADER)
+
+        client = self.client(await self.serve(slow), await self.serve(follow))
+        for _ in range(2):
+            reply = await client.call(CALL, 20.0)
+            self.assertEqual(Outcome.OK, reply.outcome)
+        # The search for a successor ends with the answer.
+        await asyncio.wait_for(client._search, 20.0)
+
     async def test_calls_side_by_side_survive_a_dropped_connection(self):
         """Guards against an error in a call whose channel another closed."""
         dark = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
