--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -132,7 +132,8 @@
         if process is not None and process.poll() is None:
             return
         command = [sys.executable, "-m", "soak.process"]
-        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        paths = [str(ROOT), os.environ.get("PYTHONPATH", "")]
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, paths))}
         if name in self.upstream_names:
             command = self._upstream_command(name)
         else:
