Let a new leader use the upstreams that the former one knew

Change: what upstreams are is committed when it changes (a new incarnation, other facts, a leave, silence), in batches. A leave is committed before it is acknowledged.

Tests: three in test_leadership.TakeOverTests (the first fails without the list), two in test_store. Departures and the log of jobs have modules of their own.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -18,6 +18,7 @@
     Route,
     SetZone,
     SubmitJob,
+    UpstreamReport,
     configuration_problem,
 )
 from persimmonyard.replication import NotLeaderError, OutcomeUnknownError
@@ -133,7 +134,7 @@
             submitted_ms=int(time.time() * 1_000),
         )
         await lead.commit(SubmitJob(job))
-        lead.note_accepted(job)
+        lead.jobs_log.note_accepted(job)
         return CallReply(Outcome.OK)
 
     async def _cancel(self, job_id: str, lead: Leadership) -> CallReply:
@@ -158,6 +159,12 @@
             raise NotLeaderError("")
         return lead
 
+    async def observe(self, report: UpstreamReport) -> None:
+        """Take a report of an upstream; a leave is committed on return."""
+        lead = self.lead()
+        lead.observe(report)
+        await lead.confirm(report)
+
     async def put_configuration(self, configuration: JobConfiguration) -> str:
         """Put a configuration in force; return why it is invalid, or "".
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -5,10 +5,13 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from persimmonyard.daemon.jobs.departures import Departures
 from persimmonyard.daemon.jobs.durations import Durations
+from persimmonyard.daemon.jobs.job_log import JobLog
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.planning import Planning
 from persimmonyard.daemon.jobs.port import UpstreamPort
+from persimmonyard.daemon.jobs.roster import Roster
 from persimmonyard.daemon.jobs.session import UpstreamSession
 from persimmonyard.daemon.jobs.tracks import RunState, RunTrack
 from persimmonyard.daemon.logs import get_logger
@@ -17,13 +20,11 @@
     EndRuns,
     ExpireJobs,
     Fleet,
-    Job,
     JobRecord,
     JobStore,
     RunEnd,
     RunName,
     RunTimes,
-    Step,
     TaskEnd,
     Unit,
     UnitKey,
@@ -85,6 +86,9 @@
         self._times = RunTimes()
         self._health = UpstreamHealth()
         self._planning = Planning(self, self._times)
+        self._departures = Departures(self, self._times)
+        self._roster = Roster(store, self.fleet, propose, now)
+        self.jobs_log = JobLog(self.log, store, self._times, metrics)
         self._session_by_id: dict[str, UpstreamSession] = {}
         self._tasks: set[asyncio.Task] = set()
 
@@ -92,14 +96,19 @@
 
     def start(self) -> None:
         """Take over what former leaders placed, and begin to plan."""
+        adopted = self._roster.adopt(self.durations.lease_ms)
         inherited = 0
         for seats in list(self.store.seats_by_upstream.values()):
             for (name, run), one in list(seats.items()):
                 self._inherit(name, run, one.seat)
                 inherited += 1
         self.log.info(
-            "leadership begins", jobs=len(self.store.job_by_id), runs=inherited
+            "leadership begins",
+            jobs=len(self.store.job_by_id),
+            runs=inherited,
+            upstreams=adopted,
         )
+        self.spawn(self._roster.run())
         self.spawn(self._planning.run())
         self.spawn(self._expiry_loop())
 
@@ -168,6 +177,10 @@
             self._session_by_id[upstream_id] = session
         return session
 
+    def known_session(self, upstream: Upstream) -> UpstreamSession | None:
+        """Return the session of an upstream if it has one."""
+        return self._session_by_id.get(upstream.report.upstream_id)
+
     def sessions(self) -> list[UpstreamSession]:
         """Return the sessions of this term."""
         return list(self._session_by_id.values())
@@ -176,7 +189,6 @@
 
     def observe(self, report: UpstreamReport) -> None:
         """Take a report of an upstream."""
-        was_leaving = self._is_leaving(report.upstream_id)
         upstream, new = self.fleet.observe(report, self.now())
         if new:
             self.log.info(
@@ -190,49 +202,15 @@
             session = self._session_by_id.get(report.upstream_id)
             if session is not None:
                 session.replace_incarnation(upstream)
-        if upstream.report.leaving and not was_leaving:
-            self.log.info(
-                "upstream leaves",
-                upstream=report.upstream_id,
-                remaining_ms=report.remaining_ms,
-            )
-            self.spawn(self._empty(upstream, report.remaining_ms / 1_000))
+        self._departures.consider(upstream, report.remaining_ms / 1_000)
+        self._roster.note(upstream.report)
         self.kick()
 
-    def _is_leaving(self, upstream_id: str) -> bool:
-        known = self.fleet.by_id.get(upstream_id)
-        return known is not None and known.report.leaving
-
-    async def _empty(self, upstream: Upstream, remaining_s: float) -> None:
-        """Move what cannot end before an upstream leaves.
-
-        Work that would be lost begins again elsewhere at once.  Runs that
-        save their work go on until the last moment.
-        """
-        session = self._session_by_id.get(upstream.report.upstream_id)
-        if session is None:
-            return
-        for track in list(session.track_by_run.values()):
-            if not track.step.checkpoints and not self._ends_within(track, remaining_s):
-                self.stop_run(track.key, track.run, "upstream leaves")
-        await asyncio.sleep(max(0.0, remaining_s - self.durations.leave_s))
-        if session.upstream is not upstream:
-            return
-        for track in list(session.track_by_run.values()):
-            if track.step.checkpoints:
-                self.stop_run(track.key, track.run, "upstream leaves")
-
-    def _ends_within(self, track: RunTrack, seconds: float) -> bool:
-        """Return whether a run will probably end in time."""
-        now = self.now()
-        left_s = track.left_s(now)
-        if left_s is None:
-            record = self.store.job_by_id.get(track.name.job_id)
-            if record is None or track.began_at is None:
-                return False
-            task_s = self._times.task_ms(record.job, track.step) / 1_000
-            left_s = max(0.0, track.began_at + task_s - now)
-        return left_s < seconds
+    async def confirm(self, report: UpstreamReport) -> None:
+        """Return when a leave that was reported is committed."""
+        upstream = self.fleet.by_id.get(report.upstream_id)
+        if upstream is not None and upstream.report.leaving:
+            await self._roster.note_leave(upstream.report)
 
     async def depart(self, upstream_id: str) -> None:
         """Take the word of a leaving upstream that it has ended."""
@@ -296,7 +274,7 @@
         await self.propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
         for record in live:
             if not record.live():
-                self._note_job_end(record)
+                self.jobs_log.note_end(record)
         upstream_id = session.upstream.report.upstream_id
         for end in ends:
             name = end.key.run_name(end.task)
@@ -316,36 +294,6 @@
                 record_by_id[end.key.job_id] = record
         return list(record_by_id.values())
 
-    def _note_job_end(self, record: JobRecord) -> None:
-        """Log and count how long a job took, beside its objective."""
-        job = record.job
-        route = self.store.route_of(record)
-        took_ms = record.ended_ms - job.submitted_ms
-        objective_ms = self._times.objective_ms(job, route) if route else 0.0
-        state = str(record.state())
-        self._metrics.note_job(job.route, state, took_ms / 1_000)
-        self.log.info(
-            "job ended",
-            job=job.job_id,
-            work_class=job.route,
-            account=job.account,
-            state=state,
-            took_ms=took_ms,
-            objective_ms=int(objective_ms),
-            attempts=sum(unit.run for unit in record.units.values()),
-        )
-
-    def note_accepted(self, job: Job) -> None:
-        """Log what a caller handed in."""
-        self.log.info(
-            "job accepted",
-            job=job.job_id,
-            work_class=job.route,
-            account=job.account,
-            steps=[_shape(step) for step in job.steps],
-            occurrences=job.occurrences(),
-        )
-
     def _note_end(self, track: RunTrack, end: RunEnd, upstream_id: str) -> None:
         now = self.now()
         self._metrics.note_end(str(end.end))
@@ -478,21 +426,3 @@
                 expired.append(record.job.job_id)
             if expired:
                 await self.propose(ExpireJobs(tuple(expired[:_EXPIRE_AT_ONCE])))
-
-
-def _shape(step: Step) -> str:
-    """Return tasks, needs and conditions of a step as logs show them."""
-    needs = step.needs
-    shape = f"{step.count}x{needs.accelerators}gpu/{needs.cores}m/{needs.memory_mb}MB"
-    marks = [
-        name
-        for name in ("gang", "one_rack", "checkpoints", "long_running", "fills")
-        if getattr(step, name)
-    ]
-    if step.rack:
-        marks.append(f"rack={step.rack}")
-    if step.label:
-        marks.append(f"label={step.label}")
-    if step.per_upstream:
-        marks.append(f"per_upstream={step.per_upstream}")
-    return " ".join([shape, f"{step.estimate_ms}ms", *marks])
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -23,6 +23,8 @@
 # Pauses between calls to an upstream that does not answer, in seconds.
 _RETRY_S = 0.1
 _LONGEST_RETRY_S = 0.5
+# A first look that tells the clock takes one round trip, in seconds.
+_CLOCK_WAIT_S = 0.01
 # How long an upstream gets no work after it refused some, in seconds.
 _REFUSAL_PAUSE_S = 2.0
 # How long an upstream gets no work after a look without an answer; while it
@@ -299,9 +301,10 @@
                 self.stop(track, "upstream left service")
                 return
             if not self.upstream.clock_known:
-                await asyncio.sleep(_RETRY_S)
-                if lead.now() - first_at > lead.durations.start_s:
-                    self.stop(track, "start unanswered")
+                if lead.now() - first_at > lead.durations.order_s:
+                    await self._give_up_unsent(track)
+                    return
+                await asyncio.sleep(_CLOCK_WAIT_S)
                 continue
             now = lead.now()
             order = StartOrder(
@@ -330,6 +333,23 @@
             if await self._take_start_reply(track, reply, first_at):
                 return
 
+    async def _give_up_unsent(self, track: RunTrack) -> None:
+        """End a run of which no start was sent: the upstream is silent."""
+        lead = self._lead
+        upstream = self.upstream
+        upstream.avoid_until = max(upstream.avoid_until, lead.now() + _REFUSAL_PAUSE_S)
+        if track.in_doubt:
+            self.stop(track, "start unanswered")
+            return
+        lead.log.info(
+            "start not sent",
+            job=track.name.job_id,
+            task=track.name.task_text(),
+            run=track.run,
+            upstream=upstream.report.upstream_id,
+        )
+        await lead.record_ends(self, [self._end_of(track, TaskEnd.REJECTED)])
+
     async def _take_start_reply(
         self, track: RunTrack, reply: OrderReply, first_at: float
     ) -> bool:
--- a/packages/jobs/src/persimmonyard/jobs/commands.py
+++ b/packages/jobs/src/persimmonyard/jobs/commands.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from persimmonyard.jobs.configuration import JobConfiguration
+from persimmonyard.jobs.fleet import UpstreamReport
 from persimmonyard.jobs.model import Job, TaskEnd, UnitKey
 
 __all__ = [
@@ -10,6 +11,8 @@
     "Command",
     "EndRuns",
     "ExpireJobs",
+    "ForgetUpstreams",
+    "NoteUpstreams",
     "PlaceRuns",
     "Placement",
     "PutConfiguration",
@@ -99,6 +102,18 @@
     job_ids: tuple[str, ...]
 
 
+class NoteUpstreams(_Command, frozen=True, array_like=True, tag="ups"):
+    """Remember what upstreams are, so that the next leader knows them."""
+
+    reports: tuple[UpstreamReport, ...]
+
+
+class ForgetUpstreams(_Command, frozen=True, array_like=True, tag="fgt"):
+    """Forget upstreams that are silent."""
+
+    upstream_ids: tuple[str, ...]
+
+
 Command = (
     PutConfiguration
     | SetZone
@@ -107,6 +122,8 @@
     | PlaceRuns
     | EndRuns
     | ExpireJobs
+    | NoteUpstreams
+    | ForgetUpstreams
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -37,6 +37,10 @@
     leaving: bool = False
     remaining_ms: int = 0
 
+    def facts(self) -> "UpstreamReport":
+        """Return the report without what changes with every report."""
+        return self._replace(sequence=-1, clock_ms=0, remaining_ms=0)
+
 
 @dataclass
 class Upstream:
@@ -126,6 +130,15 @@
             report, never, 0, now, granted_ms=lease_ms, clock_known=False
         )
 
+    def adopt(self, report: UpstreamReport, lease_ms: int, now: float) -> None:
+        """Add an upstream that a former leader has heard of lately.
+
+        It counts as heard now; its clock is unknown as with ``inherit``.
+        """
+        self.by_id[report.upstream_id] = Upstream(
+            report, now, 0, now, granted_ms=lease_ms, clock_known=False
+        )
+
     def fresh(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream is present, heard lately and stays."""
         if upstream.gone or upstream.report.leaving:
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -10,6 +10,8 @@
     Command,
     EndRuns,
     ExpireJobs,
+    ForgetUpstreams,
+    NoteUpstreams,
     Placement,
     PlaceRuns,
     PutConfiguration,
@@ -20,6 +22,7 @@
     decode_command,
 )
 from persimmonyard.jobs.configuration import JobConfiguration, Route
+from persimmonyard.jobs.fleet import UpstreamReport
 from persimmonyard.jobs.model import (
     GANG,
     Job,
@@ -109,6 +112,7 @@
     configuration: JobConfiguration | None
     zones_out: list[str]
     jobs: list[JobRecord]
+    upstreams: list[UpstreamReport] = []
 
 
 class JobStore:
@@ -122,6 +126,8 @@
         self.configuration: JobConfiguration | None = None
         self.zones_out: set[str] = set()
         self.job_by_id: dict[str, JobRecord] = {}
+        # What upstreams are that a leader has heard of lately.
+        self.report_by_upstream: dict[str, UpstreamReport] = {}
         self.seats_by_upstream: dict[str, dict[tuple[RunName, int], SeatRecord]] = {}
         self._route_by_name: dict[str, Route] = {}
         self._account_by_key: dict[str, str] = {}
@@ -136,7 +142,10 @@
     def snapshot(self) -> bytes:
         """Return the whole state."""
         image = _Image(
-            self.configuration, sorted(self.zones_out), list(self.job_by_id.values())
+            self.configuration,
+            sorted(self.zones_out),
+            list(self.job_by_id.values()),
+            list(self.report_by_upstream.values()),
         )
         return msgspec.msgpack.encode(image)
 
@@ -146,6 +155,7 @@
         self.configuration = image.configuration
         self.zones_out = set(image.zones_out)
         self.job_by_id = {record.job.job_id: record for record in image.jobs}
+        self.report_by_upstream = {one.upstream_id: one for one in image.upstreams}
         self.seats_by_upstream = {}
         self._waiting = {}
         self._index_configuration()
@@ -189,6 +199,14 @@
                 for job_id in job_ids:
                     self.job_by_id.pop(job_id, None)
                 return True
+            case NoteUpstreams(reports):
+                for report in reports:
+                    self._note_upstream(report)
+                return True
+            case ForgetUpstreams(upstream_ids):
+                for upstream_id in upstream_ids:
+                    self.report_by_upstream.pop(upstream_id, None)
+                return True
 
     def _put_configuration(self, configuration: JobConfiguration) -> bool:
         current = self.configuration
@@ -209,6 +227,15 @@
             for key in account.keys:
                 self._account_by_key[key] = account.name
 
+    def _note_upstream(self, report: UpstreamReport) -> None:
+        known = self.report_by_upstream.get(report.upstream_id)
+        if known is not None and known.incarnation > report.incarnation:
+            return
+        if known is not None and known.incarnation == report.incarnation:
+            # Leaving is final for an incarnation.
+            report = report._replace(leaving=report.leaving or known.leaving)
+        self.report_by_upstream[report.upstream_id] = report
+
     def _submit(self, job: Job) -> bool:
         if job.job_id in self.job_by_id:
             return False
--- a/test/daemon/jobs/test_leadership.py
+++ b/test/daemon/jobs/test_leadership.py
@@ -9,8 +9,8 @@
 from persimmonyard.daemon.jobs.port import OrderResult
 from persimmonyard.jobs import CancelJob, EndRuns, JobState, SubmitJob, TaskEnd
 from persimmonyard.replication import NotLeaderError
-from test.daemon.jobs.fakes import FakePort, Term, until
-from test.jobs.fixtures import JOB_ID, job, step
+from test.daemon.jobs.fakes import FakePort, Term, clock_ms, until
+from test.jobs.fixtures import JOB_ID, job, report, step
 
 
 class LeadershipTests(unittest.IsolatedAsyncioTestCase):
@@ -212,6 +212,51 @@
         await term.lead.commit(SubmitJob(job(step())))
         return term
 
+    async def test_new_leader_uses_upstreams_before_they_report(self):
+        """Guards against jobs that wait for heartbeats after a failover."""
+        port = FakePort()
+        upstream = port.add("u1")
+        first = await self.first_term(port)
+        await until(lambda: first.store.report_by_upstream)
+        first.lead.close()
+        second = await self.take_over(port, first.store)
+        other = "00000000000000b2"
+        await second.lead.commit(SubmitJob(job(step(), job_id=other)))
+        await until(lambda: any(n.job_id == other for n, _, _ in upstream.started))
+
+    async def test_new_leader_starts_nothing_on_an_upstream_that_left(self):
+        """Guards against a leave that only the former leader knew."""
+        port = FakePort()
+        upstream = port.add("u1")
+        first = Term(port)
+        first.lead.start()
+        first.report("u1")
+        leave = report("u1", sequence=2, leaving=True, clock_ms=clock_ms())
+        first.lead.observe(leave)
+        await first.lead.confirm(leave)
+        first.lead.close()
+        second = await self.take_over(port, first.store)
+        await second.lead.commit(SubmitJob(job(step())))
+        await asyncio.sleep(0.5)
+        self.assertEqual([], upstream.started)
+
+    async def test_silent_upstream_of_a_former_leader_holds_up_nothing(self):
+        """Guards against seconds spent on an upstream that has died."""
+        port = FakePort()
+        port.add("u1")
+        first = Term(port)
+        first.lead.start()
+        first.report("u1")
+        await until(lambda: first.store.report_by_upstream)
+        first.lead.close()
+        port.silent.add("u1")
+        other = port.add("u2")
+        second = await self.take_over(port, first.store)
+        await second.lead.commit(SubmitJob(job(step())))
+        await until(lambda: second.proposed)
+        second.report("u2")
+        await until(lambda: other.started)
+
     async def test_new_leader_goes_on_with_what_runs(self):
         """Guards against a second start of a task that runs."""
         port = FakePort()
--- a/test/jobs/test_store.py
+++ b/test/jobs/test_store.py
@@ -9,8 +9,10 @@
     GANG,
     CancelJob,
     EndRuns,
+    ForgetUpstreams,
     JobState,
     JobStore,
+    NoteUpstreams,
     Placement,
     PlaceRuns,
     PutConfiguration,
@@ -22,7 +24,7 @@
     UnitKey,
     configuration_problem,
 )
-from test.jobs.fixtures import JOB_ID, NORMAL, configuration, job, step
+from test.jobs.fixtures import JOB_ID, NORMAL, configuration, job, report, step
 
 NOW_MS = 1_800_000_000_000
 
@@ -147,8 +149,10 @@
         self.store.execute(place(second, 1, [1]))
         self.store.execute(end(second, 1, 1, TaskEnd.DONE))
         self.store.execute(SetZone("z2", True))
+        self.store.execute(NoteUpstreams((report("u1").facts(),)))
         copy = JobStore()
         copy.restore(self.store.snapshot())
+        self.assertEqual(self.store.report_by_upstream, copy.report_by_upstream)
         self.assertEqual(self.store.job_by_id, copy.job_by_id)
         self.assertEqual(self.store.zones_out, copy.zones_out)
         self.assertEqual(
@@ -162,6 +166,20 @@
         copy.execute(end(first, 0, 1, TaskEnd.DONE))
         self.assertEqual({}, copy.seats_by_upstream)
 
+    def test_leave_is_final_for_an_incarnation(self):
+        """Guards against a late report that brings a leaving upstream back."""
+        leaving = report("u1", leaving=True).facts()
+        self.store.execute(NoteUpstreams((leaving,)))
+        self.store.execute(NoteUpstreams((report("u1").facts(),)))
+        self.assertTrue(self.store.report_by_upstream["u1"].leaving)
+        born = report("u1", incarnation=2).facts()
+        self.store.execute(NoteUpstreams((born,)))
+        self.assertFalse(self.store.report_by_upstream["u1"].leaving)
+        self.store.execute(NoteUpstreams((leaving,)))
+        self.assertEqual(2, self.store.report_by_upstream["u1"].incarnation)
+        self.store.execute(ForgetUpstreams(("u1",)))
+        self.assertEqual({}, self.store.report_by_upstream)
+
     @settings(derandomize=True, max_examples=60, deadline=None)
     @given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from(list(TaskEnd)))))
     def test_seats_match_the_units(self, moves):
