Count the start of a process towards its first election

Change: the wait for a lease that the former process may have confirmed, and the first election timeout, count from the begin of the process. Failover on platforms with a contact bound over 3 s is as fast as with 3 s.

Test: test_lease_confirmed_before_a_restart_is_waited_out_once, seen to fail before.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -66,7 +66,8 @@
 class JobControlProcess:
     """Run the control role.
 
-    ``build_app`` returns the HTTP application for operators and upstreams.
+    ``build_app`` returns the HTTP application for operators and upstreams,
+    ``began_at`` is when the process began, on the clock of leases.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         settings: JobSettings,
         port: UpstreamPort,
         build_app: Callable[["JobControlProcess"], Any],
+        began_at: float | None = None,
     ):
         self._settings = settings
         self._port = port
@@ -83,6 +85,7 @@
         self._metrics = JobMetrics()
         self.service = JobService(self.store, lambda: self.leadership, self._metrics)
         self._build_app = build_app
+        self._began_at = began_at
         self._durations = durations(settings.bounds)
         self._tasks: list[asyncio.Task] = []
         self._http: HttpServer | None = None
@@ -131,6 +134,7 @@
             election_max_s=self._durations.election_s * _ELECTION_SPREAD,
             lease_s=self._durations.leader_lease_s,
             seed=random.getrandbits(32),
+            began_at=self._began_at,
         )
         self._replica = Replica(
             config, FileDisk(folder), self._transport, self.store, self._fail
--- a/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
@@ -30,6 +30,9 @@
 _BEAT_SHARE = 1 / 15
 _ELECTION_SHARE = 0.27
 _LEADER_LEASE_SHARE = 0.235
+# A looser bound needs no slower failover: beyond this, durations of the
+# replicated log stay as they are, in ms.
+_LOOSEST_CONTACT_MS = 3_000
 # Jobs that ended are kept a tenth longer than callers may ask for them.
 _RETENTION_SHARE = 1.1
 
@@ -57,6 +60,7 @@
 
 def durations(bounds: BoundSettings) -> Durations:
     """Return the durations that keep the bounds."""
+    contact_s = min(bounds.contact_ms, _LOOSEST_CONTACT_MS) / 1_000
     return Durations(
         lease_ms=int(bounds.longest_lease_ms * _LEASE_SHARE),
         wait_ms=MAX_WAIT_MS,
@@ -67,7 +71,7 @@
         heartbeat_s=bounds.heartbeat_ms / 1_000,
         notice_s=bounds.stop_grace_s * _NOTICE_SHARE,
         drain_s=bounds.stop_grace_s * _DRAIN_SHARE,
-        beat_s=bounds.contact_ms / 1_000 * _BEAT_SHARE,
-        election_s=bounds.contact_ms / 1_000 * _ELECTION_SHARE,
-        leader_lease_s=bounds.contact_ms / 1_000 * _LEADER_LEASE_SHARE,
+        beat_s=contact_s * _BEAT_SHARE,
+        election_s=contact_s * _ELECTION_SHARE,
+        leader_lease_s=contact_s * _LEADER_LEASE_SHARE,
     )
--- a/packages/replication/src/persimmonyard/replication/config.py
+++ b/packages/replication/src/persimmonyard/replication/config.py
@@ -16,7 +16,9 @@
     two replicas differ by 10%.  ``peers`` are asked for recovery when the
     members are not known.  A compacted log keeps at most
     ``trailing_entries`` entries of at most ``trailing_bytes`` in total before
-    the snapshot's index, for followers that are behind.
+    the snapshot's index, for followers that are behind.  ``began_at`` is when
+    the process began, on the clock of the core: no former process of this
+    replica has confirmed a lease later than that.
     """
 
     replica_id: str
@@ -32,6 +34,7 @@
     trailing_entries: int = 1_000
     trailing_bytes: int = 4 << 20
     seed: int = 0
+    began_at: float | None = None
 
 
 @dataclass
--- a/packages/replication/src/persimmonyard/replication/voter.py
+++ b/packages/replication/src/persimmonyard/replication/voter.py
@@ -28,14 +28,16 @@
 
     def __init__(self, core: ReplicaCore):
         self._core = core
-        # A replica that restarts may have confirmed a lease just before.
-        self._heard_at = core.now
+        # A replica that restarts may have confirmed a lease just before its
+        # process began.
+        began_at = core.config.began_at
+        self._heard_at = core.now if began_at is None else min(core.now, began_at)
         self._votes: set[str] = set()
         self._pre_voting = False
         self._pre_vote_term = 0
         self.deadline = core.now
         if core.may_lead and len(core.members.voters) > 1:
-            self.restart_timer()
+            self.restart_timer(self._heard_at)
 
     def heard_leader(self) -> None:
         """Note a message of the current leader."""
@@ -57,11 +59,11 @@
         if core.may_lead:
             self._start_pre_vote()
 
-    def restart_timer(self) -> None:
-        """Wait a random election timeout from now on."""
+    def restart_timer(self, since: float | None = None) -> None:
+        """Wait a random election timeout from now on, or from ``since``."""
         config = self._core.config
         span = self._core.random.uniform(config.election_min_s, config.election_max_s)
-        self.deadline = self._core.now + span
+        self.deadline = (self._core.now if since is None else since) + span
 
     def _ask_for_recovery(self) -> None:
         core = self._core
--- a/test/replication/test_core.py
+++ b/test/replication/test_core.py
@@ -1,6 +1,7 @@
 """Stateful fuzzing of the replication core against a simple oracle."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -246,6 +247,33 @@
                 applied.append(action.index)
         return applied
 
+    def granted(self, core, now):
+        """Return whether a core would vote for another one."""
+        log = core.log
+        message = PreVote(9, log.last_index, log.last_term)
+        for action in core.step(events.Received("b", message), now):
+            if isinstance(action, events.Send):
+                return action.message.granted
+        return None
+
+    def test_lease_confirmed_before_a_restart_is_waited_out_once(self):
+        """A vote right after a restart may come beside a valid lease.
+
+        The time for which the process has been starting counts.
+        """
+        durable = DurableState(term=2)
+        durable.snapshot = SnapshotMeta(0, 0, self.MEMBERS)
+        core = ReplicaCore(self.CONFIG, durable, 10.0)
+        self.assertFalse(self.granted(core, 10.3))
+        self.assertTrue(self.granted(core, 10.7))
+        config = replace(self.CONFIG, began_at=9.5)
+        core = ReplicaCore(config, durable, 10.0)
+        self.assertFalse(self.granted(core, 10.05))
+        self.assertTrue(self.granted(core, 10.15))
+        # A clock that went back must not shorten the wait.
+        core = ReplicaCore(replace(self.CONFIG, began_at=99.0), durable, 10.0)
+        self.assertFalse(self.granted(core, 10.3))
+
     def test_entry_of_an_earlier_term_waits_for_one_of_this_term(self):
         """A later leader may still replace an old entry on a quorum."""
         core = self.elected([Entry(1, EntryKind.COMMAND, b"old")])
