--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -22,7 +22,7 @@
     call_handler,
 )
 from persimmonyard.daemon.jobs.durations import durations
-from persimmonyard.daemon.jobs.inspection import inspection_server
+from persimmonyard.daemon.jobs.inspection import describe_term, inspection_server
 from persimmonyard.daemon.jobs.job_service import JobService
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
 from persimmonyard.daemon.jobs.leadership import Leadership
@@ -192,7 +192,7 @@
         """Return what an operator sees of this process."""
         dump: dict[str, Any] = {"replica": self._replica.status()._asdict()}
         if self.leadership is not None:
-            dump["leadership"] = self.leadership.dump()
+            dump["leadership"] = describe_term(self.leadership)
         return dump
 
     def _initialize(self, folder: Path, seed_addresses: dict[str, str]) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
@@ -1,14 +1,17 @@
 """The HTTP port on which a process shows its metrics and its state."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from litestar import Litestar, Response, get
 
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.metrics import ProcessMetrics
 
-__all__ = ["inspection_server"]
+if TYPE_CHECKING:
+    from persimmonyard.daemon.jobs.leadership import Leadership
+
+__all__ = ["describe_term", "inspection_server"]
 
 _DRAIN_S = 1.0
 
@@ -29,3 +32,21 @@
 
     app = Litestar([show_metrics, show_state], openapi_config=None, logging_config=None)
     return HttpServer(app, host, port, _DRAIN_S)
+
+
+def describe_term(lead: "Leadership") -> dict[str, Any]:
+    """Return what an operator sees of a leader's term."""
+    upstreams = {}
+    now = lead.now()
+    for upstream_id, upstream in lead.fleet.by_id.items():
+        session = lead.known_session(upstream)
+        upstreams[upstream_id] = {
+            "zone": upstream.report.zone,
+            "incarnation": upstream.report.incarnation,
+            "leaving": upstream.report.leaving,
+            "gone": upstream.gone,
+            "heard_s_ago": round(now - upstream.heard_at, 3),
+            "avoided_s": round(max(0.0, upstream.avoid_until - now), 3),
+            "runs": len(session.track_by_run) if session is not None else 0,
+        }
+    return {"term": lead.fence, "upstreams": upstreams}
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leadership.py
@@ -318,7 +318,7 @@
             pause = self._health.note_failure(upstream_id, end.key.job_id)
             upstream = self.fleet.by_id.get(upstream_id)
             if pause and upstream is not None:
-                upstream.avoid_until = now + pause
+                upstream.avoid(now + pause)
                 self.log.warning(
                     "upstream avoided", upstream=upstream_id, pause_s=pause
                 )
@@ -365,7 +365,7 @@
                 continue
             self.note_event("stalled")
             upstream = session.upstream
-            upstream.avoid_until = max(upstream.avoid_until, now + _STALLED_PAUSE_S)
+            upstream.avoid(now + _STALLED_PAUSE_S)
             self.stop_run(track.key, track.run, "stands still")
 
     # Planning.
@@ -380,25 +380,6 @@
         self.kick()
         return result
 
-    # Inspection.
-
-    def dump(self) -> dict[str, Any]:
-        """Return what an operator sees of this term."""
-        upstreams = {}
-        now = self.now()
-        for upstream_id, upstream in self.fleet.by_id.items():
-            session = self._session_by_id.get(upstream_id)
-            upstreams[upstream_id] = {
-                "zone": upstream.report.zone,
-                "incarnation": upstream.report.incarnation,
-                "leaving": upstream.report.leaving,
-                "gone": upstream.gone,
-                "heard_s_ago": round(now - upstream.heard_at, 3),
-                "avoided_s": round(max(0.0, upstream.avoid_until - now), 3),
-                "runs": len(session.track_by_run) if session is not None else 0,
-            }
-        return {"term": self.fence, "upstreams": upstreams}
-
     # Expiry.
 
     def _forget_silent(self) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -197,9 +197,7 @@
                 error=error,
             )
         now = self._lead.now()
-        self.upstream.avoid_until = max(
-            self.upstream.avoid_until, now + _SILENCE_PAUSE_S
-        )
+        self.upstream.avoid(now + _SILENCE_PAUSE_S)
         if self.upstream.lapsed(now):
             await self.lose_all("every lease has ended")
 
@@ -321,7 +319,7 @@
             except NoAnswerError:
                 track.in_doubt = True
                 if lead.now() - first_at > lead.durations.start_s:
-                    upstream.avoid_until = lead.now() + _REFUSAL_PAUSE_S
+                    upstream.avoid(lead.now() + _REFUSAL_PAUSE_S)
                     self.stop(track, "start unanswered")
                     return
                 await asyncio.sleep(_RETRY_S)
@@ -337,7 +335,7 @@
         """End a run of which no start was sent: the upstream is silent."""
         lead = self._lead
         upstream = self.upstream
-        upstream.avoid_until = max(upstream.avoid_until, lead.now() + _REFUSAL_PAUSE_S)
+        upstream.avoid(lead.now() + _REFUSAL_PAUSE_S)
         if track.in_doubt:
             self.stop(track, "start unanswered")
             return
@@ -386,7 +384,7 @@
                 self.stop(track, "run is over")
                 return True
             case OrderResult.NO_ROOM | OrderResult.UNHEALTHY:
-                self.upstream.avoid_until = now + _REFUSAL_PAUSE_S
+                self.upstream.avoid(now + _REFUSAL_PAUSE_S)
         if track.in_doubt:
             self.stop(track, "start refused after one without an answer")
             return True
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -84,6 +84,10 @@
         self.granted_ms = max(self.granted_ms, until)
         return until
 
+    def avoid(self, until: float) -> None:
+        """Place nothing here before ``until``."""
+        self.avoid_until = max(self.avoid_until, until)
+
     def lapsed(self, now: float) -> bool:
         """Return whether every lease that was granted has ended."""
         return self.clock_floor_ms(now) > self.granted_ms + _LAPSE_MARGIN_MS
