--- a/bench/driver.py
+++ b/bench/driver.py
@@ -4,9 +4,10 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-from typing import Any, Protocol
+from dataclasses import replace
+from typing import Any
 
+from bench.driver_records import Attempt, Policy, Request, Sample
 from bench.workload import Incident, PlannedJob, Workload
 from persimmonyard.model import Adjacency, ResultCode, Shape
 from persimmonyard.scheduler import (
@@ -17,7 +18,6 @@
     ClientAccountChanged,
     Decision,
     Event,
-    Job,
     JobGone,
     JobWaiting,
     Place,
@@ -47,70 +47,6 @@
 RETRY_BACKOFF_S = 0.5
 
 
-class Policy(Protocol):
-    """What the driver uses of a scheduler."""
-
-    def observe(self, event: Event, now: float) -> None:
-        """Take note of a fact."""
-
-    def decide(self, now: float) -> list[Decision]:
-        """Return decisions."""
-
-    def next_wakeup(self) -> float | None:
-        """Return when ``decide`` is due without a new fact."""
-
-
-@dataclass
-class Attempt:
-    """One attempt; ``outcome`` is empty while it runs."""
-
-    request: "Request"
-    number: int
-    upstream_ids: tuple[str, ...]
-    started_at: float | None = None
-    ended_at: float | None = None
-    outcome: str = ""
-    stopping: bool = False
-
-
-@dataclass
-class Request:
-    """A job in the fake system; ``end`` is empty while it has not ended."""
-
-    planned: PlannedJob
-    job: Job
-    left_s: float
-    attempts: list[Attempt] = field(default_factory=list)
-    failures: int = 0
-    cancelled: bool = False
-    first_start: float | None = None
-    ended_at: float | None = None
-    end: str = ""
-
-    def live(self) -> Attempt | None:
-        """Return the attempt that holds capacity."""
-        if self.attempts and not self.attempts[-1].outcome:
-            return self.attempts[-1]
-        return None
-
-
-@dataclass
-class Sample:
-    """The sound fleet in service at one moment, in accelerators.
-
-    ``stranded`` is for the mix of the whole workload, ``stranded_waiting`` for
-    the jobs that wait, and no more than they ask for.  ``demand`` is what
-    running and waiting jobs ask for.  ``at`` is in seconds.
-    """
-
-    at: float
-    free: int
-    stranded: float
-    stranded_waiting: float
-    capacity: int
-    demand: int
-
-
 class Driver:
     """Run one workload under one policy on a fake clock."""
 
--- a/bench/replication.py
+++ b/bench/replication.py
@@ -1,7 +1,7 @@
 """Measure replicas: group commit, restart, memory and time without a leader.
 
 All results are ratios within one run, or figures against a limit.  Run with
-``python bench/replication.py``; ``--node`` is what it starts for itself.
+``python -m bench.replication``; ``--node`` is what it starts for itself.
 """
 
 import argparse
@@ -13,7 +13,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -21,48 +21,22 @@
 import grpc
 import psutil
 
+from bench.replication_state import write_folders
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
-from persimmonyard.model import (
-    ClassSpec,
-    ClientAccountSpec,
-    ConfigurationChange,
-    Shape,
-    UpstreamSpec,
-)
 from persimmonyard.replication import CoreConfig, FileDisk, Replica, initialize
-from persimmonyard.replication.events import (
-    BaseRecord,
-    EntryRecord,
-    Rewrite,
-    VoteRecord,
-    Write,
-)
-from persimmonyard.replication.messages import Entry, EntryKind, SnapshotMeta
 from persimmonyard.standin.deployment import Deployment, reserve_port
 from persimmonyard.state import StateMachine
-from persimmonyard.state.commands import (
-    ApplyConfiguration,
-    LogRecord,
-    PlaceAttempt,
-    RegisterUpstream,
-    StartAttempt,
-    SubmitRequest,
-    encode_record,
-)
 from persimmonyard.wire.generated import control_pb2_grpc
 
 __all__ = ["run"]
 
+ROOT = Path(__file__).resolve().parent.parent
 NAMES = ("a", "b", "c")
 CONCURRENT = 256
 COMMAND = b"x" * 300
 LOAD_S = 3.0
 INJECTED_SYNC_S = 0.005
-UPSTREAMS = 5_400
-TASKS = 47_000
-PAST_CHANGES = 7 * 60_000
 KILLS = 7
-TRAILING_ENTRIES = 1_000
 
 
 class SlowDisk(FileDisk):
@@ -165,12 +139,21 @@
 
     def start(self, name: str) -> None:
         """Start one replica."""
-        command = [sys.executable, __file__, "--node", name, *self._options]
+        command = [
+            sys.executable,
+            "-m",
+            "bench.replication",
+            "--node",
+            name,
+            *self._options,
+        ]
         command += ["--addresses", json.dumps(self._addresses)]
         command += ["--folder", str(self._folder)]
         output = open(self._folder / f"{name}.out", "wb")  # noqa: SIM115
         with output:
-            self._process_by_name[name] = subprocess.Popen(command, stdout=output)
+            self._process_by_name[name] = subprocess.Popen(
+                command, stdout=output, cwd=ROOT
+            )
 
     def kill(self, name: str) -> None:
         """Kill one replica at once."""
@@ -240,102 +223,6 @@
     }
 
 
-# A state of the size that the capacity page gives for one deployment.
-
-
-def history() -> Iterator[bytes]:
-    """Yield the encoded commands that lead to the state."""
-    account = ClientAccountSpec("clinic", max_waiting=10 * TASKS)
-    changes = [ConfigurationChange(work_class=ClassSpec("sculpt"))]
-    changes.append(ConfigurationChange(client_account=account))
-    commands: list[Any] = [ApplyConfiguration(tuple(changes))]
-    for number in range(UPSTREAMS):
-        commands.append(RegisterUpstream(_upstream(number)))
-    for command in commands:
-        yield encode_record(LogRecord("", 1.0, command))
-    for number in range(TASKS):
-        for command in _task(number):
-            yield encode_record(LogRecord("", 1.0 + number / 100, command))
-
-
-def _upstream(number: int) -> UpstreamSpec:
-    return UpstreamSpec(
-        upstream_id=f"upstream-{number}",
-        incarnation=f"{number:032x}",
-        zone=f"zone-{number % 8}",
-        rack=f"rack-{number // 40}",
-        address=f"127.0.0.1:{10_000 + number}",
-        accelerators=8,
-        cores=64,
-        memory_mb=262_144,
-        slots=16,
-    )
-
-
-def _task(number: int) -> Iterator[Any]:
-    request_id = f"{number:032x}"
-    yield SubmitRequest(
-        request_id=request_id,
-        client_account="clinic",
-        class_name="sculpt",
-        key=f"key-{number}",
-        digest=f"{number:064x}",
-        shape=Shape(accelerators=1),
-        declared_run_s=3_600.0,
-        idempotent=True,
-        checkpointable=True,
-        payload=b"x" * 200,
-    )
-    upstream_id = f"upstream-{number % UPSTREAMS}"
-    yield PlaceAttempt(request_id, 1, (upstream_id,), "entry-1")
-    yield StartAttempt(request_id, 1, number + 1)
-
-
-def write_folders(folder: Path) -> dict[str, int]:
-    """Write the same state as logs and as snapshot plus log.
-
-    The log "whole" is the shortest that leads to the state; in "past", a
-    week of configuration changes at the target's rate comes before it.
-    """
-    machine = StateMachine()
-    entries = []
-    failed = 0
-    for index, data in enumerate(history(), 1):
-        failed += machine.apply(index, data).code != 0
-        entries.append(Entry(1, EntryKind.COMMAND, data))
-    assert not failed, f"{failed} commands of the history were refused"
-    snapshot = machine.snapshot()
-    base = len(entries) - TRAILING_ENTRIES
-    write_log(folder, "whole", entries)
-    change = ConfigurationChange(work_class=ClassSpec("sculpt"))
-    data = encode_record(LogRecord("", 1.0, ApplyConfiguration((change,))))
-    past = [Entry(1, EntryKind.COMMAND, data)] * PAST_CHANGES
-    write_log(folder, "past", past + entries)
-    initialize(folder / "control-1", "control-1", {"control-1": "127.0.0.1:1"})
-    disk = FileDisk(folder / "control-1")
-    members = disk.load("control-1").identity.members
-    disk.save_snapshot(SnapshotMeta(base, 1, members), snapshot)
-    records: list[Any] = [BaseRecord(base, 1), VoteRecord(1, "")]
-    for index in range(base + 1, len(entries) + 1):
-        records.append(EntryRecord(index, entries[index - 1]))
-    disk.commit([Rewrite(records)])
-    disk.close()
-    return {"entries": len(entries), "snapshot_bytes": len(snapshot)}
-
-
-def write_log(folder: Path, name: str, entries: list[Entry]) -> None:
-    """Write a folder with a log only."""
-    initialize(folder / name, name, {name: "127.0.0.1:1"})
-    disk = FileDisk(folder / name)
-    disk.load(name)
-    for start in range(0, len(entries), TRAILING_ENTRIES):
-        records: list[Any] = [VoteRecord(1, "")]
-        for index in range(start, min(start + TRAILING_ENTRIES, len(entries))):
-            records.append(EntryRecord(index + 1, entries[index]))
-        disk.commit([Write(records)])
-    disk.close()
-
-
 class NoTransport:
     """The transport of a group of one."""
 
