--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -76,7 +76,7 @@
             reply = CallReply(Outcome.UNKNOWN, detail=str(error))
         took_s = time.perf_counter() - started_at
         self._metrics.note_call(str(call.verb), str(reply.outcome), took_s)
-        if call.verb != Verb.READ or reply.outcome != Outcome.OK:
+        if _tells_something(call, reply):
             self._log.info(
                 "call answered",
                 verb=str(call.verb),
@@ -197,3 +197,13 @@
         """Take an availability zone out of service or back."""
         await self.lead().commit(SetZone(zone, out))
         self._log.info("zone changed", zone=zone, out=out)
+
+
+def _tells_something(call: JobCall, reply: CallReply) -> bool:
+    """Return whether an answer is worth a line in the log.
+
+    Without a leader every entry asks every process many times a second.
+    """
+    if reply.outcome == Outcome.NOT_LEADER:
+        return False
+    return call.verb != Verb.READ or reply.outcome != Outcome.OK
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -85,7 +85,6 @@
         self._transport = transport
         self._machine = machine
         self._on_failure = on_failure
-        # Why the disk failed, once it has.
         self.disk_error: Exception | None = None
         self._slots = asyncio.Semaphore(MAX_PROPOSALS_IN_FLIGHT)
         self._proposals: list[_Proposal] = []
--- a/test/daemon/jobs/test_leadership.py
+++ b/test/daemon/jobs/test_leadership.py
@@ -3,11 +3,20 @@
 import asyncio
 import unittest
 
+from structlog.testing import capture_logs
+
 from persimmonyard.daemon.jobs.calls import JobCall, Outcome, Verb
 from persimmonyard.daemon.jobs.job_service import JobService
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.port import OrderResult
-from persimmonyard.jobs import CancelJob, EndRuns, JobState, SubmitJob, TaskEnd
+from persimmonyard.jobs import (
+    CancelJob,
+    EndRuns,
+    JobState,
+    JobStore,
+    SubmitJob,
+    TaskEnd,
+)
 from persimmonyard.replication import NotLeaderError
 from test.daemon.jobs.fakes import FakePort, Term, clock_ms, until
 from test.jobs.fixtures import JOB_ID, job, report, step
@@ -198,6 +207,19 @@
         self.assertEqual("saved", other.started[0][2])
 
 
+class LogTests(unittest.IsolatedAsyncioTestCase):
+    async def test_answers_without_a_leader_are_counted_and_not_logged(self):
+        """Guards against a flood of lines while no process leads."""
+        metrics = JobMetrics()
+        service = JobService(JobStore(), lambda: None, metrics)
+        call = JobCall(Verb.SUBMIT, "h.example", f"/normal/{JOB_ID}", "key-1")
+        with capture_logs() as lines:
+            reply = await service.answer(call)
+        self.assertEqual(Outcome.NOT_LEADER, reply.outcome)
+        self.assertEqual([], lines)
+        self.assertIn(b'outcome="not_leader"', metrics.text()[0])
+
+
 class TakeOverTests(unittest.IsolatedAsyncioTestCase):
     async def take_over(self, port, store):
         term = Term(port, store, fence=2)
