--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -183,7 +183,7 @@
         self._inspection = inspection_server(
             self._metrics,
             self._dump,
-            addresses.bind_ip or addresses.ip,
+            addresses.metrics_host(),
             addresses.metrics_port,
         )
         await self._inspection.start()
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -63,7 +63,7 @@
         self._inspection = inspection_server(
             self.metrics,
             self._dump,
-            addresses.bind_ip or addresses.ip,
+            addresses.metrics_host(),
             addresses.metrics_port,
         )
         await self._inspection.start()
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -57,7 +57,7 @@
         self._log = get_logger("leader")
         self.heard_at = float("-inf")
         # The search for another leader while the known one is silent.
-        self._search: asyncio.Task[str] | None = None
+        self._search: asyncio.Task[None] | None = None
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Take further addresses to look for the leader at."""
@@ -144,13 +144,13 @@
         finally:
             attempt.cancel()
 
-    def _search_other(self, silent: str) -> asyncio.Task[str]:
+    def _search_other(self, silent: str) -> asyncio.Task[None]:
         """Return the one search that runs for all calls."""
         if self._search is None or self._search.done():
             self._search = asyncio.create_task(self._find_other(silent))
         return self._search
 
-    async def _find_other(self, silent: str) -> str:
+    async def _find_other(self, silent: str) -> None:
         """Ask the other processes until one leads, or the leader answers."""
         began_at = steady_now()
         while self._leader == silent and self.heard_at < began_at:
@@ -162,7 +162,6 @@
                     self._note_leader(address)
                     break
             await asyncio.sleep(_PAUSE_S)
-        return self._leader
 
     async def _attempt(
         self, address: str, call: Call, within_s: float
--- a/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
@@ -42,6 +42,10 @@
         host, _, port = address.rpartition(":")
         return self.bind_ip or host, int(port)
 
+    def metrics_host(self) -> str:
+        """Return the host to bind for metrics."""
+        return self.bind_ip or self.ip
+
 
 class GroupSettings(msgspec.Struct, forbid_unknown_fields=True):
     """How control processes find each other.
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -129,10 +129,8 @@
         """
         if report.upstream_id in self.by_id:
             return
-        never = now - _LONG_AGO_S
-        self.by_id[report.upstream_id] = Upstream(
-            report, never, 0, now, granted_ms=lease_ms, clock_known=False
-        )
+        self.adopt(report, lease_ms, now)
+        self.by_id[report.upstream_id].heard_at = now - _LONG_AGO_S
 
     def adopt(self, report: UpstreamReport, lease_ms: int, now: float) -> None:
         """Add an upstream that a former leader has heard of lately.
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -9,7 +9,7 @@
 from persimmonyard.jobs.history import RunTimes
 from persimmonyard.jobs.model import GANG, Step, UnitKey
 from persimmonyard.jobs.preemption import LiveRun, Reservation, Victims
-from persimmonyard.jobs.promises import PromisedJobs
+from persimmonyard.jobs.promises import OWED_PATIENCE_S, PromisedJobs
 from persimmonyard.jobs.rooms import (
     Room,
     counted_needs,
@@ -28,9 +28,6 @@
 # While half of the capacity is free, nothing waits longer, in seconds: the
 # platform expects work to start within 3 s then.
 _IDLE_PATIENCE_S = 1.5
-# Work that an account was promised goes far sooner, in seconds: it has to
-# begin within the platform's bound for reclaiming (2.7 s), stops included.
-_OWED_PATIENCE_S = 1.0
 # Of its class only the units that wait longest hold capacity back.
 _MAX_HELD_UNITS = 2
 # How long a unit waits before capacity is held back for it, in seconds.
@@ -183,7 +180,7 @@
         tasks = list(range(step.count)) if key.task == GANG else [key.task]
         patience_s = _NEAR_PATIENCE * self._times.task_ms(wait.record.job, step) / _MS
         if wait.owed:
-            patience_s = min(patience_s, _OWED_PATIENCE_S)
+            patience_s = min(patience_s, OWED_PATIENCE_S)
         if self._half_free:
             patience_s = min(patience_s, _IDLE_PATIENCE_S)
         needs = counted_needs(step)
--- a/packages/jobs/src/persimmonyard/jobs/preemption.py
+++ b/packages/jobs/src/persimmonyard/jobs/preemption.py
@@ -6,7 +6,7 @@
 
 from persimmonyard.jobs.history import RunTimes
 from persimmonyard.jobs.model import UnitKey
-from persimmonyard.jobs.promises import PromisedJobs
+from persimmonyard.jobs.promises import OWED_PATIENCE_S, PromisedJobs
 from persimmonyard.jobs.rooms import Room, counted_needs
 from persimmonyard.jobs.store import JobStore
 from persimmonyard.jobs.waits import Deadlines, Wait, work_weight
@@ -30,10 +30,6 @@
 _ENDS_SOON_S = 0.6
 # Wasted work is paid for, and its repetition takes capacity from other work.
 _REDO_FACTOR = 1.4
-# Promised work stops others at any cost after this long, in seconds: it has
-# to begin within the platform's bound for reclaiming (2.7 s), of which the
-# stops take 0.9 s at the most.
-_OWED_PATIENCE_S = 1.0
 # Seconds that stopping and starting again cost besides the work itself.
 _RESTART_S = 0.2
 # Other urgent work is stopped last for promised work.
@@ -147,7 +143,7 @@
 
         It is in core-seconds of wasted work; 0 while the unit can wait.
         """
-        if wait.owed and wait.waited_s >= _OWED_PATIENCE_S:
+        if wait.owed and wait.waited_s >= OWED_PATIENCE_S:
             return float("inf")
         work_s = self._times.task_ms(wait.record.job, wait.step) / _MS
         work = wait.task_count() * work_weight(wait.step) * work_s
@@ -196,7 +192,7 @@
             room = by_id.get(upstream_id)
             if room is None:
                 continue
-            for other in self._list_by_id.get(upstream_id) or self._list(upstream_id):
+            for other in self._list(upstream_id):
                 if (other.key, other.run) == place:
                     soon = found.soon_by_id.get(upstream_id, room.soon)
                     found.soon_by_id[upstream_id] = soon.plus(other.needs)
@@ -209,15 +205,19 @@
             self._list_by_id.pop(one.seat.upstream_id, None)
 
     def _possible(self, upstream_id: str, wait: Wait) -> list[Victim]:
-        victims = self._list_by_id.get(upstream_id)
-        if victims is None:
-            victims = self._list(upstream_id)
+        victims = self._list(upstream_id)
         if wait.owed:
             return victims
         return [one for one in victims if one.priority > wait.route.priority]
 
     def _list(self, upstream_id: str) -> list[Victim]:
         """Return the runs on an upstream, the cheapest to stop first."""
+        found = self._list_by_id.get(upstream_id)
+        if found is None:
+            found = self._list_by_id[upstream_id] = self._find(upstream_id)
+        return found
+
+    def _find(self, upstream_id: str) -> list[Victim]:
         needs_by_run: dict[tuple[UnitKey, int], Resources] = {}
         for name, run in self._store.seats_by_upstream.get(upstream_id, {}):
             step = self._store.job_by_id[name.job_id].job.steps[name.step]
@@ -233,7 +233,6 @@
             if victim is not None:
                 found.append(victim)
         found.sort(key=lambda victim: victim.cost)
-        self._list_by_id[upstream_id] = found
         return found
 
     def _victim(self, key: UnitKey, run: int, freed: Resources) -> Victim | None:
--- a/packages/jobs/src/persimmonyard/jobs/promises.py
+++ b/packages/jobs/src/persimmonyard/jobs/promises.py
@@ -3,7 +3,12 @@
 from persimmonyard.jobs.configuration import JobConfiguration
 from persimmonyard.jobs.store import JobRecord, JobStore
 
-__all__ = ["PromisedJobs"]
+__all__ = ["OWED_PATIENCE_S", "PromisedJobs"]
+
+# Promised work goes far from its data, and stops others at any cost, after
+# this long, in seconds: it has to begin within the platform's bound for
+# reclaiming (2.7 s), of which the stops take 0.9 s at the most.
+OWED_PATIENCE_S = 1.0
 
 
 class PromisedJobs:
