Wait for the long tasks to start before an entry is stopped

Cause: the test stopped the entry 2 s after its load began.

Change: the test waits until all long tasks have started, for up to 60 s, and then stops the entry. The assertion on the states after the exit is unchanged. The limit on calls that wait for a long task was 10 s from the begin of the load with the stop at 2 s; it is now 8 s from the stop, which is the same.

--- a/test/daemon/test_shutdown.py
+++ b/test/daemon/test_shutdown.py
@@ -19,6 +19,9 @@
 CALLERS = 8
 LONG_REQUEST_KEYS = ("long-1", "long-2", "long-3", "long-4")
 LONG_TASK_S = 20.0
+STARTED = ["started"] * len(LONG_REQUEST_KEYS)
+# Within this time after SIGTERM, calls that wait for a long task return.
+LONG_CALLS_S = 8.0
 DEADLINE_S = 60.0
 
 
@@ -49,14 +52,14 @@
     async def run_long_requests(self):
         """Submit requests whose tasks outlast the shutdown of the entry.
 
-        Returns the time in seconds until all calls have returned.  There are
-        several requests, so that the stopping entry dispatches some of them.
+        Returns the time at which all calls have returned, on the monotonic
+        clock.  There are several requests, so that the stopping entry
+        dispatches some of them.
         """
-        started_at = time.monotonic()
         await asyncio.gather(
             *(self.submit_and_wait(key, LONG_TASK_S) for key in LONG_REQUEST_KEYS)
         )
-        return time.monotonic() - started_at
+        return time.monotonic()
 
     async def submit_and_wait(self, key, run_s=0.3, wait_s=30.0):
         payload = base64.b64encode(json.dumps({"run_s": run_s}).encode()).decode()
@@ -123,7 +126,7 @@
         load = Load(deployment.entry_urls())
         long_requests = asyncio.create_task(load.run_long_requests())
         callers = asyncio.create_task(load.run_callers())
-        await asyncio.sleep(2.0)
+        await self.wait_for_long_tasks(deployment)
         process = deployment.process_by_name["entry-1"]
         deployment.signal("entry-1", signal.SIGTERM)
         started_at = time.monotonic()
@@ -131,13 +134,13 @@
         duration_s = time.monotonic() - started_at
         # The entry has exited; the other one now dispatches the long tasks.
         states = await self.find_states_of_long_requests(deployment)
-        self.assertEqual(states, ["started"] * len(LONG_REQUEST_KEYS))
+        self.assertEqual(states, STARTED)
         await asyncio.sleep(1.0)
         load.stopping = True
         await asyncio.wait_for(callers, DEADLINE_S)
         self.assertEqual(status, 0)
         self.assertLess(duration_s, 30.0)
-        self.assertLess(await long_requests, 10.0)
+        self.assertLess(await long_requests - started_at, LONG_CALLS_S)
         self.assertGreater(len(load.unended_views), 0)
         self.assertEqual(load.failed_calls, [])
         self.assertGreater(len(load.ended_views), CALLERS)
@@ -145,6 +148,16 @@
         await self.check_each_ran_once(deployment, load)
         self.check_log_format(deployment)
 
+    async def wait_for_long_tasks(self, deployment):
+        """Wait until the tasks of all long requests have started."""
+        deadline = time.monotonic() + DEADLINE_S
+        while time.monotonic() < deadline:
+            states = await self.find_states_of_long_requests(deployment)
+            if states == STARTED:
+                return
+            await asyncio.sleep(0.1)
+        self.fail(f"long requests have not started: {states}")
+
     def check_log_format(self, deployment):
         """Check that every log line of every process is one JSON object."""
         for name in ("entry-1", "entry-2", "control-1"):
