End the sessions of entries as soon as leadership is handed over

Cause: traced with three runs of test_failover (planned stop) beside 12 busy processes, logs kept. Leadership itself went over in 70 to 200 ms. But the stopping process cancelled its watch of leadership right after the hand-over, so in two of three runs it never closed the sessions. The entries stayed on the dead stream until the server's grace of 1 s ended or their next beat came, and opened the next session 0.67, 0.95, 0.63 and 1.25 s after the stop began. Two further steps cost time: the end of a session named no successor, so the entry asked the others in turn with a growing backoff, and the successor refused sessions until its watch, every 0.25 s, had noticed its own election.

Change: the stopping process checks leadership right after the hand-over, which closes the sessions; a session that ends so ends with the name of the next leader; the entry follows it without a backoff; a control process checks leadership when it is called.

Each of the four new tests failed before the change.

--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -133,6 +133,9 @@
     async def stop(self) -> None:
         """Stop the replica, which transfers leadership, then the servers."""
         await self._replica.stop()
+        # Ends the sessions, so that entries move to the next leader while the
+        # leases of this one are valid.
+        self._replicated_state.check_leadership()
         for task in self._tasks:
             task.cancel()
         await self._server.stop(1.0)
--- a/packages/daemon/src/persimmonyard/daemon/control/service.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/service.py
@@ -53,7 +53,7 @@
 
     async def Execute(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Execute the commands of a batch and return the result of each."""
-        if not self._replicated_state.is_leader():
+        if not self._leads():
             return self._not_leader_reply(control_pb2.ExecuteReply)
         executions = []
         for identified_command in request.commands:
@@ -125,7 +125,7 @@
 
     async def Query(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Answer a read while the quorum lease is valid."""
-        if not self._replicated_state.is_leader():
+        if not self._leads():
             return self._not_leader_reply(control_pb2.QueryReply)
         try:
             body = await self._query(request.kind, request.item_id)
@@ -167,11 +167,14 @@
     async def Session(  # noqa: N802
         self, request_iterator: AsyncIterator[Any], context: Any
     ) -> AsyncIterator[Any]:
-        """Serve the session stream of one entry."""
-        if not self._replicated_state.is_leader():
-            assert self._replicated_state.replica is not None
-            not_leader = NotLeader(self._replicated_state.replica.leader_hint())
-            yield control_pb2.Envelope(body=session_codec.encode(not_leader))
+        """Serve the session stream of one entry.
+
+        A session that ends because this replica no longer leads ends with the
+        name of the next leader, so that the entry gets a new lease before the
+        old one expires.
+        """
+        if not self._leads():
+            yield self._not_leader_envelope()
             return
         first_beat = session_codec.decode((await anext(request_iterator)).body)
         session = self._sessions.open(first_beat)
@@ -183,10 +186,12 @@
             while not session.closed:
                 beat = await session.outbox.get()
                 if beat is None or not self._replicated_state.is_leader():
-                    return
+                    break
                 yield control_pb2.Envelope(body=session_codec.encode(beat))
         finally:
             reader.cancel()
+        if not self._replicated_state.is_leader():
+            yield self._not_leader_envelope()
 
     async def _read_beats(
         self, session: EntrySession, request_iterator: AsyncIterator[Any]
@@ -202,6 +207,20 @@
         assigned = self._assignments.live_attempt_count(session.entry_id)
         self._sessions.handle_beat(session, beat, assigned)
 
+    def _leads(self) -> bool:
+        """Return whether this replica leads, also right after its election.
+
+        The watch for changes of leadership runs at intervals.
+        """
+        if not self._replicated_state.is_leader():
+            self._replicated_state.check_leadership()
+        return self._replicated_state.is_leader()
+
+    def _not_leader_envelope(self) -> Any:
+        assert self._replicated_state.replica is not None
+        not_leader = NotLeader(self._replicated_state.replica.leader_hint())
+        return control_pb2.Envelope(body=session_codec.encode(not_leader))
+
     def _not_leader_reply(self, reply_class: Any) -> Any:
         assert self._replicated_state.replica is not None
         return reply_class(
--- a/packages/daemon/src/persimmonyard/daemon/entry/session_stream.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/session_stream.py
@@ -59,11 +59,16 @@
         self._beat_requested.set()
 
     async def run(self) -> None:
-        """Open one session after another, with a random backoff in between."""
+        """Open one session after another, with a random backoff in between.
+
+        A session that its leader handed over is followed by the next one at
+        once.
+        """
         while True:
             leader = self._control_channels.leader
             try:
-                await self._run_session(leader)
+                if await self._run_session(leader):
+                    continue
             except (grpc.aio.AioRpcError, TimeoutError) as error:
                 self._logger.info(
                     "session ended", leader=leader, error=type(error).__name__
@@ -76,7 +81,9 @@
             )
             await asyncio.sleep(random.uniform(RECONNECT_DELAY_S[0], limit))
 
-    async def _run_session(self, leader: str) -> None:
+    async def _run_session(self, leader: str) -> bool:
+        """Return whether the leader has named its successor at the end."""
+        has_led = False
         sent_at_by_sequence: dict[int, float] = {}
         call = self._control_channels.stub(leader).Session(
             self._generate_beats(sent_at_by_sequence)
@@ -86,15 +93,16 @@
                 envelope = await asyncio.wait_for(call.read(), SESSION_TIMEOUT_S)
                 if envelope is grpc.aio.EOF:
                     self._control_channels.switch_leader(leader)
-                    return
+                    return False
                 message = session_codec.decode(envelope.body)
                 if isinstance(message, NotLeader):
                     self._control_channels.switch_leader(leader, message.leader_hint)
-                    return
+                    return has_led and message.leader_hint not in ("", leader)
+                has_led = True
                 self._record_contact(leader)
                 sent_at = sent_at_by_sequence.pop(message.sequence, 0.0)
                 if not self._on_beat(message, sent_at):
-                    return
+                    return False
         finally:
             call.cancel()
 
--- a/test/daemon/control_fakes.py
+++ b/test/daemon/control_fakes.py
@@ -27,15 +27,23 @@
     """A replica that commits every proposal.
 
     ``has_quorum_lease`` sets whether it has a valid quorum lease, and
-    ``term`` is the term in which it leads, 0 for a follower.
+    ``term`` is the term in which it leads, 0 for a follower.  ``hint`` is the
+    leader that it names.
     """
 
     def __init__(self, replicated_state):
         self.replicated_state = replicated_state
         self.has_quorum_lease = True
         self.term = 1
+        self.hint = ""
         self.proposals = 0
 
+    def hand_over(self, name):
+        """Become a follower of the named replica."""
+        self.has_quorum_lease = False
+        self.term = 0
+        self.hint = name
+
     def status(self):
         role = Role.LEADER if self.term else Role.FOLLOWER
         return ReplicaStatus(role, self.term, "", 0, 0, 0, False, (), ())
@@ -44,7 +52,7 @@
         return self.has_quorum_lease
 
     def leader_hint(self):
-        return ""
+        return self.hint
 
     async def propose(self, entry):
         self.proposals += 1
--- a/test/daemon/test_leader.py
+++ b/test/daemon/test_leader.py
@@ -9,6 +9,7 @@
 import grpc
 
 from persimmonyard.daemon.entry import leader as leader_module
+from persimmonyard.daemon.entry import session_stream
 from persimmonyard.daemon.entry.leader import LeaderClient
 from persimmonyard.daemon.entry.local_state import LocalState
 from persimmonyard.daemon.tokens import hash_token
@@ -42,7 +43,8 @@
 
     ``answer`` handles the commands of each call, ``ended`` has the requests
     whose outcome it reports, and ``hint`` is the leader that it names if
-    ``leads`` is false.
+    ``leads`` is false.  ``next_leader`` is the leader to which it hands a
+    session over after the first beat.
     """
 
     def __init__(self):
@@ -57,6 +59,7 @@
         self.queries = 0
         self.sessions = 0
         self.end_first_session = False
+        self.next_leader = ""
         self.unfrozen = asyncio.Event()
         self.unfrozen.set()
 
@@ -112,6 +115,10 @@
             ]
             reply = LeaderBeat(beat.sequence, 2.0, outcomes=tuple(ended))
             yield control_pb2.Envelope(body=session_codec.encode(reply))
+            if self.next_leader:
+                handed_over = NotLeader(self.next_leader)
+                yield control_pb2.Envelope(body=session_codec.encode(handed_over))
+                return
             if self.sessions == 1 and self.end_first_session:
                 return
 
@@ -359,6 +366,25 @@
             found = await waiter.wait(DEADLINE_S)
         self.assertEqual(found.request_id, "r-1")
 
+    async def test_session_that_was_handed_over_is_reopened_at_once(self):
+        """Guards against a lease that expires during a planned stop.
+
+        The backoff is longer than the test, so the session has to follow the
+        name of the next leader without it.
+        """
+        first, second = FakeControlServicer(), FakeControlServicer()
+        first.next_leader = "control-2"
+        _, address = await serve(self, first)
+        _, other = await serve(self, second)
+        client = self.make_client({"control-1": address, "control-2": other})
+        client._control_channels.leader = "control-1"
+        with unittest.mock.patch.object(
+            session_stream, "RECONNECT_DELAY_S", (10 * DEADLINE_S, 10 * DEADLINE_S)
+        ):
+            session_task = asyncio.create_task(client.run())
+            self.addCleanup(session_task.cancel)
+            await self.wait_until(lambda: second.beats)
+
     async def test_call_to_frozen_leader_is_retried_at_next_leader(self):
         """Guards against calls that wait for a frozen leader until a timeout.
 
--- a/test/daemon/test_service.py
+++ b/test/daemon/test_service.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
+from persimmonyard.daemon.control.assignments import AssignmentController
+from persimmonyard.daemon.control.process import ControlProcess
 from persimmonyard.daemon.control.service import ControlService
+from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.model import (
     ClientAccountSpec,
     ConfigurationChange,
@@ -18,8 +22,17 @@
     command_codec,
 )
 from persimmonyard.state.records import UpstreamStatus
+from persimmonyard.wire import LeaderBeat, NotLeader, session_codec
 from persimmonyard.wire.generated import control_pb2
-from test.daemon.control_fakes import UPSTREAM_SPEC, FakeControl
+from test.daemon.control_fakes import (
+    UPSTREAM_SPEC,
+    FakeControl,
+    FakeReplica,
+    entry_beat,
+)
+from test.daemon.fakes import make_settings
+
+DEADLINE_S = 20.0
 
 
 class FakeScheduling:
@@ -136,3 +149,76 @@
         query = control_pb2.QueryRequest(kind="configuration")
         reply = await self.service.Query(query, None)
         self.assertEqual(reply.code, ResultCode.NOT_LEADER)
+
+
+class HandOverTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.control = FakeControl()
+        self.sessions = SessionController(self.control.replicated_state)
+        self.assignments = AssignmentController(
+            self.control.replicated_state, self.sessions
+        )
+        self.service = ControlService(
+            self.control.replicated_state,
+            self.sessions,
+            self.assignments,
+            FakeScheduling(capacity=1),
+            FakeUpstreams(),
+        )
+
+    async def open_session(self):
+        """Open the session of an entry; return its stream of messages."""
+
+        async def send_beats():
+            yield control_pb2.Envelope(body=session_codec.encode(entry_beat("e-1")))
+            await asyncio.sleep(DEADLINE_S)
+
+        stream = self.service.Session(send_beats(), None)
+        self.addAsyncCleanup(stream.aclose)
+        return stream
+
+    async def next_message(self, stream):
+        envelope = await asyncio.wait_for(anext(stream), DEADLINE_S)
+        return session_codec.decode(envelope.body)
+
+    async def test_session_ends_with_the_name_of_the_next_leader(self):
+        """Guards against entries that search while their lease expires."""
+        self.control.become_leader(self.sessions)
+        stream = await self.open_session()
+        self.assertIsInstance(await self.next_message(stream), LeaderBeat)
+        self.control.replica.hand_over("control-2")
+        self.control.replicated_state.check_leadership()
+        self.assertEqual(NotLeader("control-2"), await self.next_message(stream))
+
+    async def test_new_leader_accepts_a_session_at_once(self):
+        """Guards against a new leader that refuses entries until it notices.
+
+        The entry comes before the next check of leadership.
+        """
+        self.control.replicated_state.controllers = [self.sessions]
+        stream = await self.open_session()
+        self.assertIsInstance(await self.next_message(stream), LeaderBeat)
+
+    async def test_stopping_process_ends_sessions_before_it_waits(self):
+        """Guards against entries that stay connected to a former leader.
+
+        Their leases expire while the process waits for calls in progress.
+        """
+        process = ControlProcess(make_settings())
+        replica = FakeReplica(process._replicated_state)
+        process._replica = process._replicated_state.replica = replica
+        process._replicated_state.check_leadership()
+        session = process._sessions.open(entry_beat("e-1"))
+
+        async def hand_over():
+            replica.hand_over("control-2")
+
+        closed_when_waiting = []
+
+        async def wait_for_calls(grace_s):
+            closed_when_waiting.append(session.closed)
+
+        replica.stop = hand_over
+        process._server = unittest.mock.Mock(stop=wait_for_calls)
+        await process.stop()
+        self.assertEqual([True], closed_when_waiting)
