Pass operators' orders on to the leader instead of redirecting them

Cause: a control process that does not lead answered 307, so an order needed two responses that arrive.

Ruled out: answering at a follower after its own commit (a follower cannot know the commit of an order that it did not propose), and a longer search by the operator (not ours). Weighed: proposing from a follower through the log's own messages; it would need the leader's outcome on the same way back and brings nothing over a call.

Change: the process asks the leader for its clock (the probe that finds the leader) and sends the order once, with an expiry on that clock. A late order is refused by the leader, one without an answer is in doubt and gets 503. Upstreams are redirected as before.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import grpc
+import msgspec
 
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.http_server import HttpServer
@@ -19,11 +20,13 @@
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
 from persimmonyard.daemon.jobs.leader_term import LeaderTerm
 from persimmonyard.daemon.jobs.metrics import JobMetrics
+from persimmonyard.daemon.jobs.operator_service import OperatorService
 from persimmonyard.daemon.jobs.rpc import (
     Call,
     CallReply,
     JobCall,
     Join,
+    OperatorCall,
     Outcome,
     call_handler,
 )
@@ -39,6 +42,7 @@
     LogDamagedError,
     MemberChangeError,
     Replica,
+    boottime_now,
     initialize,
 )
 
@@ -87,6 +91,8 @@
         self.leader_term: LeaderTerm | None = None
         self._metrics = JobMetrics()
         self.service = JobService(self.store, lambda: self.leader_term, self._metrics)
+        self._leader_client = LeaderClient([])
+        self.operators = OperatorService(self.service, self._leader_client)
         self._build_app = build_app
         self._process_started_at = process_started_at
         self._durations = derive_durations(settings.bounds)
@@ -157,7 +163,7 @@
         )
         await self._http.start()
         await self._start_inspection()
-        self._leader_client = LeaderClient(list(seed_addresses.values()))
+        self._leader_client.add_seeds(list(seed_addresses.values()))
         self._tasks = [
             asyncio.create_task(self._watch_leadership()),
             asyncio.create_task(self._join_group()),
@@ -221,6 +227,7 @@
             await self._http.stop()
             await self._inspection.stop()
         await self._server.stop(0.2)
+        await self._leader_client.close()
         await self._upstream_client.close()
         if self.failure.done() and self.failure.result() == SYNC_FAILED:
             await self._wait_for_disk()
@@ -336,14 +343,19 @@
     async def _answer(self, call: Call, context: Any) -> CallReply:
         if isinstance(call, JobCall):
             reply = await self.service.answer(call)
+        elif isinstance(call, OperatorCall):
+            reply = await self.operators.answer(call)
         elif self.leader_term is None or not self._replica.is_leader():
             reply = CallReply(Outcome.NOT_LEADER)
         elif isinstance(call, Join):
             reply = await self._add_member(call)
         else:
             configured = self.store.configuration is not None
-            reply = CallReply(Outcome.OK if configured else Outcome.NO_CONFIGURATION)
-        if reply.outcome != Outcome.NOT_LEADER and isinstance(call, JobCall):
+            outcome = Outcome.OK if configured else Outcome.NO_CONFIGURATION
+            reply = CallReply(outcome, clock_s=boottime_now())
+        if reply.outcome != Outcome.NOT_LEADER and isinstance(
+            call, JobCall | OperatorCall
+        ):
             return reply
         return self._with_members(reply)
 
@@ -352,7 +364,7 @@
         status = self._replica.status()
         members = tuple(self.peer_address(name) for name in status.voters)
         address = self.peer_address(leader) if leader else ""
-        return CallReply(reply.outcome, leader=address, members=members)
+        return msgspec.structs.replace(reply, leader=address, members=members)
 
     async def _add_member(self, call: Join) -> CallReply:
         status = self._replica.status()
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -6,11 +6,14 @@
 import grpc
 import msgspec
 
+from persimmonyard.daemon.control.transport import MAX_MESSAGE_BYTES
 from persimmonyard.daemon.jobs.rpc import (
     CALL_METHOD,
     Call,
     CallReply,
     JobCall,
+    OperatorCall,
+    OperatorOrder,
     Outcome,
     Probe,
     decode_reply,
@@ -37,6 +40,7 @@
 _RETRY_DELAY_S = 0.05
 # Connections that fail are replaced, so gRPC's own reconnects are limited.
 CHANNEL_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 50),
     ("grpc.min_reconnect_backoff_ms", 300),
     ("grpc.max_reconnect_backoff_ms", 300),
@@ -116,6 +120,31 @@
             return reply
         return CallReply(Outcome.UNKNOWN if in_doubt else Outcome.NOT_LEADER)
 
+    async def forward(self, order: OperatorOrder, within_s: float) -> CallReply:
+        """Send an operator's order to the leader at most once.
+
+        The leader refuses the order after ``within_s`` on its own clock, so an
+        order that is delayed on its way never overtakes a newer one.  The
+        outcome is ``UNKNOWN`` if the order may have been executed, or may
+        still be.
+        """
+        deadline = boottime_now() + within_s
+        while (remaining_s := deadline - boottime_now()) > 0:
+            probed = await self.call(Probe(), remaining_s)
+            address = self._leader
+            remaining_s = deadline - boottime_now()
+            if probed.outcome == Outcome.NOT_LEADER or remaining_s <= 0:
+                break
+            call = OperatorCall(order, probed.clock_s + remaining_s)
+            reply = await self._attempt(address, call, remaining_s)
+            if reply is None:
+                return CallReply(Outcome.UNKNOWN)
+            if reply.outcome != Outcome.NOT_LEADER:
+                return reply
+            self._update_addresses(reply)
+            await asyncio.sleep(_RETRY_DELAY_S)
+        return CallReply(Outcome.NOT_LEADER)
+
     def _next_address(self, tried: set[str]) -> str | None:
         if self._leader and self._leader not in tried:
             return self._leader
--- a/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
@@ -6,17 +6,22 @@
 import grpc
 import msgspec
 
-from persimmonyard.jobs import Job
+from persimmonyard.jobs import Job, JobConfiguration
 
 __all__ = [
     "CALL_METHOD",
     "Call",
     "CallReply",
+    "ConfigurationOrder",
+    "ConfigurationQuery",
     "JobCall",
     "Join",
+    "OperatorCall",
+    "OperatorOrder",
     "Outcome",
     "Probe",
     "Verb",
+    "ZoneOrder",
     "call_handler",
     "decode_call",
     "decode_reply",
@@ -78,8 +83,44 @@
     address: str
 
 
+class ConfigurationOrder(msgspec.Struct, frozen=True, array_like=True, tag="put"):
+    """Apply a configuration unless the current version is as high."""
+
+    configuration: JobConfiguration
+
+
+class ConfigurationQuery(msgspec.Struct, frozen=True, array_like=True, tag="get"):
+    """Return the text of the current configuration."""
+
+
+class ZoneOrder(msgspec.Struct, frozen=True, array_like=True, tag="zone"):
+    """Take an availability zone out of service, or return it to service."""
+
+    zone: str
+    out: bool
+
+
+OperatorOrder = ConfigurationOrder | ConfigurationQuery | ZoneOrder
+
+
+class OperatorCall(msgspec.Struct, frozen=True, array_like=True, tag="operator"):
+    """A request of an operator that a process passes on to the leader.
+
+    ``expires_at`` is on the clock of the leader, in seconds.  A call that
+    arrives later is refused, because the operator may have given a newer
+    order in the meantime.
+    """
+
+    order: OperatorOrder
+    expires_at: float
+
+
 class CallReply(msgspec.Struct, frozen=True, array_like=True):
-    """The reply to a call; ``leader`` and ``members`` are gRPC addresses."""
+    """The reply to a call; ``leader`` and ``members`` are gRPC addresses.
+
+    ``clock_s`` is the clock of the leader, in seconds, in replies to probes.
+    ``content`` is the text of a configuration.
+    """
 
     outcome: Outcome
     state: str = ""
@@ -87,9 +128,11 @@
     detail: str = ""
     leader: str = ""
     members: tuple[str, ...] = ()
+    clock_s: float = 0.0
+    content: bytes = b""
 
 
-Call = JobCall | Probe | Join
+Call = JobCall | OperatorCall | Probe | Join
 
 _ENCODER = msgspec.msgpack.Encoder()
 _CALL_DECODER = msgspec.msgpack.Decoder(Call)
--- a/test/daemon/jobs/test_leader_client.py
+++ b/test/daemon/jobs/test_leader_client.py
@@ -11,11 +11,14 @@
 from persimmonyard.daemon.jobs.rpc import (
     CallReply,
     JobCall,
+    OperatorCall,
     Outcome,
     Probe,
     Verb,
+    ZoneOrder,
     call_handler,
 )
+from persimmonyard.replication import boottime_now
 from persimmonyard.standin.deployment import bind_free_port
 
 SUBMIT_CALL = JobCall(Verb.SUBMIT, "h.example", "/p/5c0e7a21d94b36f8", "key-1")
@@ -132,6 +135,62 @@
         for reply in await asyncio.gather(*calls):
             self.assertEqual(Outcome.NOT_LEADER, reply.outcome)
 
+    async def test_order_without_an_answer_is_sent_once(self):
+        """Guards against an order that overtakes a newer one.
+
+        The leader receives the order and does not answer.  A repetition could
+        arrive after the operator has given the opposite order.
+        """
+        received = []
+
+        async def receive(call, context):
+            if isinstance(call, Probe):
+                return CallReply(Outcome.OK, clock_s=boottime_now())
+            received.append(call)
+            return await asyncio.sleep(60.0)
+
+        client = self.client(await self.serve(receive))
+        reply = await client.forward(ZoneOrder("z1", True), 1.5)
+        self.assertEqual(Outcome.UNKNOWN, reply.outcome)
+        self.assertEqual([ZoneOrder("z1", True)], [call.order for call in received])
+
+    async def test_order_expires_on_the_clock_of_the_leader(self):
+        """Guards against an expiry that depends on the sender's clock."""
+        leader_clock_s = 5_000_000.0
+        received = []
+
+        async def receive(call, context):
+            if isinstance(call, OperatorCall):
+                received.append(call)
+            return CallReply(Outcome.OK, clock_s=leader_clock_s)
+
+        client = self.client(await self.serve(receive))
+        reply = await client.forward(ZoneOrder("z1", True), 2.0)
+        self.assertEqual(Outcome.OK, reply.outcome)
+        self.assertLessEqual(received[0].expires_at, leader_clock_s + 2.0)
+        self.assertGreater(received[0].expires_at, leader_clock_s)
+
+    async def test_order_refused_by_a_former_leader_reaches_the_next(self):
+        """Guards against giving up an order because leadership moved."""
+        executed = []
+
+        async def former(call, context):
+            if isinstance(call, Probe) and not executed:
+                return CallReply(Outcome.OK, clock_s=boottime_now())
+            return CallReply(Outcome.NOT_LEADER, leader=next_address)
+
+        async def current(call, context):
+            if isinstance(call, OperatorCall):
+                executed.append(call.order)
+            return CallReply(Outcome.OK, clock_s=boottime_now())
+
+        former_port = await self.serve(former)
+        next_address = f"127.0.0.1:{await self.serve(current)}"
+        client = self.client(former_port)
+        reply = await client.forward(ZoneOrder("z1", False), 10.0)
+        self.assertEqual(Outcome.OK, reply.outcome)
+        self.assertEqual([ZoneOrder("z1", False)], executed)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/platform_adapter/test_end_to_end.py
+++ b/test/platform_adapter/test_end_to_end.py
@@ -245,6 +245,27 @@
             )
             self.assertEqual(body, reply.json())
 
+    async def test_every_process_answers_an_order_itself(self):
+        """Guards against orders that need two responses to arrive.
+
+        Each process must answer operators without a redirect, whether it
+        leads or not, and pass on what makes a configuration invalid.
+        """
+        async with httpx.AsyncClient(follow_redirects=False) as operator:
+            for version, ip in enumerate(CONTROL_IPS, start=10):
+                url = f"http://{ip}:{self.control_port}"
+                invalid = configuration_body(version, timeout_ms=0)
+                refused = await operator.put(f"{url}/api/config", json=invalid)
+                self.assertEqual(400, refused.status_code, refused.text)
+                body = configuration_body(version)
+                for _ in range(2):
+                    accepted = await operator.put(f"{url}/api/config", json=body)
+                    self.assertEqual(200, accepted.status_code, accepted.text)
+                self.assertEqual(body, (await operator.get(f"{url}/api/config")).json())
+                for method in ("POST", "DELETE"):
+                    reply = await operator.request(method, f"{url}/api/evacuation/z9")
+                    self.assertEqual(200, reply.status_code, reply.text)
+
     async def test_zone_out_of_service_gets_no_starts(self):
         """Guards against starts in a zone that is out of service.
 
