--- a/packages/replication/src/persimmonyard/replication/__init__.py
+++ b/packages/replication/src/persimmonyard/replication/__init__.py
@@ -10,12 +10,17 @@
     MemberChangeError,
     NotLeaderError,
     OutcomeUnknownError,
+    WriteRefusedError,
 )
 from persimmonyard.replication.events import Role
-from persimmonyard.replication.folder import initialize
+from persimmonyard.replication.folder import check_writable, initialize
 from persimmonyard.replication.interface import (
+    DiskEvent,
     ReplicaStatus,
     ReplicatedStateMachine,
+    Resumed,
+    SnapshotRefused,
+    Suspended,
     Transport,
 )
 from persimmonyard.replication.messages import (
@@ -31,6 +36,7 @@
     "LOG_DAMAGED",
     "SYNC_FAILED",
     "CoreConfig",
+    "DiskEvent",
     "DurableState",
     "FileStorage",
     "LogDamagedError",
@@ -42,10 +48,15 @@
     "ReplicaCore",
     "ReplicaStatus",
     "ReplicatedStateMachine",
+    "Resumed",
     "Role",
+    "SnapshotRefused",
     "Storage",
+    "Suspended",
     "Transport",
+    "WriteRefusedError",
     "boottime_now",
+    "check_writable",
     "decode_batch",
     "encode_batch",
     "initialize",
--- a/packages/replication/src/persimmonyard/replication/core.py
+++ b/packages/replication/src/persimmonyard/replication/core.py
@@ -35,6 +35,7 @@
     TransferRequested,
     VoteRecord,
     Write,
+    WriteRefused,
 )
 from persimmonyard.replication.follower import Follower
 from persimmonyard.replication.leader import Leader
@@ -164,6 +165,8 @@
                 self.leader_role.advance_commit()
             case SyncFailed():
                 self._fail()
+            case WriteRefused():
+                self._withdraw()
             case SnapshotSaved(meta):
                 self._compact(meta)
             case SnapshotReceived(meta):
@@ -219,6 +222,17 @@
         self.emit(Stop(SYNC_FAILED))
         self.stopped = True
 
+    def _withdraw(self) -> None:
+        """Stop, and let another voter lead, because writes are refused.
+
+        Nothing that this replica has acknowledged is lost.  The state in
+        memory is ahead of the log file, so a new core is loaded from the file
+        once it can be written again.
+        """
+        self.leader_role.abandon()
+        self.become_follower(self.term)
+        self.stopped = True
+
     # The methods below are called by Election, Follower and Leader.
 
     def emit(self, action: Action) -> None:
--- a/packages/replication/src/persimmonyard/replication/errors.py
+++ b/packages/replication/src/persimmonyard/replication/errors.py
@@ -1,5 +1,9 @@
 """Errors of the replicated log."""
 
+import contextlib
+import errno
+from collections.abc import Iterator
+
 __all__ = [
     "LOG_DAMAGED",
     "SYNC_FAILED",
@@ -7,6 +11,8 @@
     "MemberChangeError",
     "NotLeaderError",
     "OutcomeUnknownError",
+    "WriteRefusedError",
+    "refused_writes",
 ]
 
 # Result codes; the reference documentation lists the same numbers.
@@ -33,6 +39,29 @@
     """The membership change cannot be made now."""
 
 
+class WriteRefusedError(OSError):
+    """The file system refused a write, so nothing that was synced changed."""
+
+
+# Errors with which a full or read-only file system refuses a write.
+_REFUSALS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EROFS})
+
+
+@contextlib.contextmanager
+def refused_writes() -> Iterator[None]:
+    """Raise ``WriteRefusedError`` for refusals among the ``OSError`` raised.
+
+    Use it only around writes after whose failure everything synced before is
+    intact.  A failed sync of such data is no refusal, whatever its error.
+    """
+    try:
+        yield
+    except OSError as error:
+        if error.errno not in _REFUSALS:
+            raise
+        raise WriteRefusedError(error.errno, error.strerror) from error
+
+
 class LogDamagedError(Exception):
     """A stored file is damaged or missing.
 
--- a/packages/replication/src/persimmonyard/replication/events.py
+++ b/packages/replication/src/persimmonyard/replication/events.py
@@ -41,6 +41,7 @@
     "TransferRequested",
     "VoteRecord",
     "Write",
+    "WriteRefused",
 ]
 
 
@@ -103,6 +104,10 @@
     """A sync failed; it is unknown which writes are durable."""
 
 
+class WriteRefused(NamedTuple):
+    """A write was refused; what was synced before it is intact."""
+
+
 class SnapshotSaved(NamedTuple):
     """A snapshot of the local state at ``meta.index`` is stored durably."""
 
@@ -141,6 +146,7 @@
     | Proposed
     | Synced
     | SyncFailed
+    | WriteRefused
     | SnapshotSaved
     | SnapshotReceived
     | TransferRequested
--- a/packages/replication/src/persimmonyard/replication/folder.py
+++ b/packages/replication/src/persimmonyard/replication/folder.py
@@ -8,12 +8,13 @@
 
 import msgspec
 
-from persimmonyard.replication.errors import LogDamagedError
+from persimmonyard.replication.errors import LogDamagedError, refused_writes
 from persimmonyard.replication.messages import Members
 
 __all__ = [
     "FIRST_INCARNATION",
     "Identity",
+    "check_writable",
     "initialize",
     "load_identity",
     "replace_file",
@@ -27,6 +28,8 @@
 
 _IDENTITY = "identity"
 _LOG = "log"
+_PROBE = "probe"
+_PROBE_BYTES = 65_536
 
 
 class Identity(msgspec.Struct, frozen=True):
@@ -47,15 +50,41 @@
 
 
 def replace_file(path: Path, parts: Iterable[bytes]) -> None:
-    """Replace the file at ``path`` atomically and durably."""
+    """Replace the file at ``path`` atomically and durably.
+
+    Raises ``WriteRefusedError`` if the new file cannot be written; the old
+    one is intact then.
+    """
     temporary_path = path.with_name(path.name + ".new")
-    with open(temporary_path, "wb") as file:
+    try:
+        with refused_writes():
+            _write_synced(temporary_path, parts)
+    except OSError:
+        temporary_path.unlink(missing_ok=True)
+        raise
+    os.rename(temporary_path, path)
+    sync_folder(path.parent)
+
+
+def _write_synced(path: Path, parts: Iterable[bytes]) -> None:
+    with open(path, "wb") as file:
         for part in parts:
             file.write(part)
         file.flush()
         os.fsync(file.fileno())
-    os.rename(temporary_path, path)
-    sync_folder(path.parent)
+
+
+def check_writable(folder: Path) -> None:
+    """Write, sync and remove a file of the size of a large log frame.
+
+    Raises ``WriteRefusedError`` if the file system refuses it.
+    """
+    path = folder / _PROBE
+    try:
+        with refused_writes():
+            _write_synced(path, [bytes(_PROBE_BYTES)])
+    finally:
+        path.unlink(missing_ok=True)
 
 
 def initialize(folder: Path, replica_id: str, address_by_name: dict[str, str]) -> None:
--- a/packages/replication/src/persimmonyard/replication/interface.py
+++ b/packages/replication/src/persimmonyard/replication/interface.py
@@ -5,7 +5,15 @@
 
 from persimmonyard.replication.messages import Message
 
-__all__ = ["ReplicaStatus", "ReplicatedStateMachine", "Transport"]
+__all__ = [
+    "DiskEvent",
+    "ReplicaStatus",
+    "ReplicatedStateMachine",
+    "Resumed",
+    "SnapshotRefused",
+    "Suspended",
+    "Transport",
+]
 
 
 class ReplicatedStateMachine(Protocol):
@@ -37,6 +45,25 @@
         """Set the current addresses of the members of the group."""
 
 
+class Suspended(NamedTuple):
+    """A write was refused: the replica takes no part until it can write."""
+
+    error: OSError
+
+
+class Resumed(NamedTuple):
+    """The replica takes part again, with what was durable before."""
+
+
+class SnapshotRefused(NamedTuple):
+    """A local snapshot could not be written; a later one will be tried."""
+
+    error: OSError
+
+
+DiskEvent = Suspended | Resumed | SnapshotRefused
+
+
 class ReplicaStatus(NamedTuple):
     """The state of a replica, for operators and metrics."""
 
@@ -49,3 +76,4 @@
     recovering: bool
     voters: tuple[str, ...]
     learners: tuple[str, ...]
+    suspended: bool = False
--- a/packages/replication/src/persimmonyard/replication/leader.py
+++ b/packages/replication/src/persimmonyard/replication/leader.py
@@ -319,6 +319,15 @@
         leader_state = core.leader_state
         if leader_state is None or leader_state.transfer_deadline is not None:
             return
+        leader_state.transfer_to = self._most_complete_voter(leader_state)
+        leader_state.transfer_deadline = core.now + core.config.transfer_timeout_s
+        if not leader_state.transfer_to:
+            leader_state.transfer_deadline = core.now
+        self._finish_transfer()
+
+    def _most_complete_voter(self, leader_state: LeaderState) -> str:
+        """Return the reachable voter with the longest log, or ""."""
+        core = self._core
         best: tuple[int, str] = (0, "")
         for name, progress in leader_state.progress_by_name.items():
             acked_sent_at = progress.acked_sent_at
@@ -326,11 +335,20 @@
                 continue
             if core.now < acked_sent_at + core.config.election_min_s:
                 best = max(best, (progress.match, name))
-        leader_state.transfer_to = best[1]
-        leader_state.transfer_deadline = core.now + core.config.transfer_timeout_s
-        if not best[1]:
-            leader_state.transfer_deadline = core.now
-        self._finish_transfer()
+        return best[1]
+
+    def abandon(self) -> None:
+        """Tell the most complete voter to campaign, without waiting for it.
+
+        Unlike in a transfer, the voter may lack entries.  The election decides
+        which log is complete enough.
+        """
+        core = self._core
+        if core.leader_state is None:
+            return
+        successor = self._most_complete_voter(core.leader_state)
+        if successor:
+            core.send(successor, TimeoutNow(core.term))
 
     def _finish_transfer(self) -> None:
         core = self._core
--- a/packages/replication/src/persimmonyard/replication/log_file.py
+++ b/packages/replication/src/persimmonyard/replication/log_file.py
@@ -9,7 +9,11 @@
 
 import msgspec
 
-from persimmonyard.replication.errors import LogDamagedError
+from persimmonyard.replication.errors import (
+    LogDamagedError,
+    WriteRefusedError,
+    refused_writes,
+)
 from persimmonyard.replication.events import Record
 from persimmonyard.replication.folder import replace_file
 
@@ -69,12 +73,14 @@
     def append(self, records: list[Record]) -> None:
         """Write records as one frame, without a sync.
 
-        Raises ``OSError`` if only a part of the frame could be written.
+        Raises ``WriteRefusedError`` if the file system refuses the frame or
+        a part of it.  What is left of it is cut off by the next ``read``.
         """
         frame = _encode_frame(self._file.tell(), records)
-        written = self._file.write(frame)
+        with refused_writes():
+            written = self._file.write(frame)
         if written != len(frame):
-            raise OSError(
+            raise WriteRefusedError(
                 errno.ENOSPC, f"log write truncated: {written} of {len(frame)} bytes"
             )
 
@@ -83,7 +89,11 @@
         os.fdatasync(self._file.fileno())
 
     def rewrite(self, records: list[Record]) -> None:
-        """Replace the contents with ``records``, atomically and durably."""
+        """Replace the contents with ``records``, atomically and durably.
+
+        Raises ``WriteRefusedError`` if the new file cannot be written; the
+        old one is intact then.
+        """
         replace_file(self._path, [_encode_frame(0, records)])
         self._file.close()
         self._file = _open_unbuffered(self._path)
--- a/packages/replication/src/persimmonyard/replication/snapshot_file.py
+++ b/packages/replication/src/persimmonyard/replication/snapshot_file.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from persimmonyard.replication.errors import LogDamagedError
+from persimmonyard.replication.errors import LogDamagedError, refused_writes
 from persimmonyard.replication.folder import replace_file, sync_folder
 from persimmonyard.replication.messages import SnapshotChunk, SnapshotMeta
 
@@ -76,16 +76,16 @@
         """Store a chunk of a received snapshot.
 
         Returns None until the last chunk, then the snapshot's metadata, with
-        index 0 if the chunks do not form a valid snapshot.
+        index 0 if the chunks do not form a valid snapshot.  Raises
+        ``WriteRefusedError`` if the chunk cannot be written; the chunks
+        before it are removed then.
         """
-        mode = "wb" if chunk.offset == 0 else "r+b"
-        with open(self._partial_path, mode) as file:
-            file.seek(chunk.offset)
-            file.truncate()
-            file.write(chunk.data)
-            if chunk.done:
-                file.flush()
-                os.fsync(file.fileno())
+        try:
+            with refused_writes():
+                self._write_chunk(chunk)
+        except OSError:
+            self._partial_path.unlink(missing_ok=True)
+            raise
         if not chunk.done:
             return None
         loaded = _read_snapshot(self._partial_path)
@@ -98,6 +98,16 @@
                 self._index = chunk.meta.index
         return chunk.meta
 
+    def _write_chunk(self, chunk: SnapshotChunk) -> None:
+        mode = "wb" if chunk.offset == 0 else "r+b"
+        with open(self._partial_path, mode) as file:
+            file.seek(chunk.offset)
+            file.truncate()
+            file.write(chunk.data)
+            if chunk.done:
+                file.flush()
+                os.fsync(file.fileno())
+
 
 def _encode_header(meta: SnapshotMeta, data: bytes) -> bytes:
     encoded_meta = msgspec.msgpack.encode(meta)
--- a/packages/replication/src/persimmonyard/replication/storage.py
+++ b/packages/replication/src/persimmonyard/replication/storage.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, Protocol
 
 from persimmonyard.replication.config import DurableState
-from persimmonyard.replication.errors import LogDamagedError
+from persimmonyard.replication.errors import LogDamagedError, refused_writes
 from persimmonyard.replication.events import (
     BaseRecord,
     EntryRecord,
@@ -14,7 +14,11 @@
     VoteRecord,
     Write,
 )
-from persimmonyard.replication.folder import Identity, load_identity
+from persimmonyard.replication.folder import (
+    Identity,
+    check_writable,
+    load_identity,
+)
 from persimmonyard.replication.log_file import LogFile
 from persimmonyard.replication.messages import SnapshotChunk, SnapshotMeta
 from persimmonyard.replication.snapshot_file import ChunkData, SnapshotFile
@@ -36,12 +40,25 @@
     def load(self, replica_id: str) -> LoadedState:
         """Lock the folder and return its contents.
 
-        Raises ``LogDamagedError`` if a file is damaged or missing, and
-        ``OSError`` if another process uses the folder.
+        Raises ``LogDamagedError`` if a file is damaged or missing,
+        ``WriteRefusedError`` if the folder cannot be written, and another
+        ``OSError`` if another process uses it.
+        """
+
+    def reload(self, replica_id: str) -> LoadedState:
+        """Return what is durable, after a write was refused.
+
+        Raises ``WriteRefusedError`` while the file system refuses writes,
+        other ``OSError`` if it fails, and ``LogDamagedError`` for a damaged
+        file.
         """
 
     def persist(self, changes: list[Write | Rewrite]) -> None:
-        """Write and sync changes in order; raise ``OSError`` on failure."""
+        """Write and sync changes in order.
+
+        Raises ``WriteRefusedError`` if the changes are not durable and all
+        earlier ones are, and another ``OSError`` if neither is known.
+        """
 
     def save_snapshot(self, meta: SnapshotMeta, data: bytes) -> None:
         """Store a local snapshot durably; may overlap ``persist``."""
@@ -77,17 +94,24 @@
     def load(self, replica_id: str) -> LoadedState:
         """Lock the folder and return its contents.
 
-        Raises ``LogDamagedError`` if a file is damaged or missing, and
-        ``OSError`` if another process uses the folder.
+        See ``Storage`` for the errors.
         """
-        self._folder.mkdir(parents=True, exist_ok=True)
-        self._lock_folder()
+        with refused_writes():
+            self._folder.mkdir(parents=True, exist_ok=True)
+            self._lock_folder()
         try:
             return self._load(replica_id)
-        except LogDamagedError:
+        except (LogDamagedError, OSError):
             self.close()
             raise
 
+    def reload(self, replica_id: str) -> LoadedState:
+        """Return what is durable, once the folder can be written again."""
+        check_writable(self._folder)
+        if self._log is not None:
+            self._log.close()
+        return self._load(replica_id)
+
     def _load(self, replica_id: str) -> LoadedState:
         identity = load_identity(self._folder, replica_id)
         self._log = LogFile(self._folder / "log")
@@ -108,7 +132,7 @@
         fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
 
     def persist(self, changes: list[Write | Rewrite]) -> None:
-        """Write and sync changes in order; raise ``OSError`` on failure."""
+        """Write and sync changes in order; see ``Storage``."""
         assert self._log is not None
         records: list[Record] = []
         for change in changes:
--- a/test/replication/cluster.py
+++ b/test/replication/cluster.py
@@ -37,6 +37,7 @@
         self.wipe(incarnation, members)
         self.core = None
         self.frozen = False
+        self.full = False
 
     def wipe(self, incarnation, members):
         """Empty the disk."""
@@ -137,6 +138,16 @@
         node.core = None
         node.syncing_changes = None
 
+    def fill_disk(self, node):
+        """Let a replica refuse all writes until ``empty_disk``."""
+        node.full = True
+
+    def empty_disk(self, node):
+        """Let a replica write again; one that was suspended is loaded anew."""
+        node.full = False
+        if node.core is None:
+            self.start(node)
+
     def lose_disk(self, node):
         """Restart a replica with an empty disk; it has to recover."""
         self.kill(node)
@@ -226,6 +237,11 @@
         for action in core.step(event, node.clock(self.now)):
             self.execute(node, action)
         self.check_leases()
+        if isinstance(event, events.WriteRefused):
+            node.core = None
+            if not node.full:
+                self.start(node)
+            return
         deadline = core.next_deadline()
         if getattr(node, "tick_at", None) is None or deadline < node.tick_at:
             node.tick_at = deadline
@@ -240,6 +256,9 @@
                 node.unsynced_changes.append(action)
             case events.Sync(token):
                 assert node.syncing_changes is None, "two syncs at once"
+                if node.full:
+                    self.schedule(self.delay, node, events.WriteRefused())
+                    return
                 node.syncing_changes, node.unsynced_changes = node.unsynced_changes, []
                 delay = self.random.uniform(0.0, 2 * self.delay)
                 self.schedule(delay, node, events.Synced(token), node.syncing_changes)
@@ -395,6 +414,7 @@
         self.drop = self.duplicate = 0.0
         self.delay = 0.002
         for node in self.nodes():
+            node.full = False
             if node.core is None:
                 self.start(node)
             self.thaw(node)
--- a/test/replication/test_core.py
+++ b/test/replication/test_core.py
@@ -202,6 +202,23 @@
     voters = 5
 
 
+class FullDiskFaults(Faults):
+    """The same faults, and disks that refuse writes for a while."""
+
+    @rule(choice=number)
+    def fill_disk(self, choice):
+        self.cluster.fill_disk(self.node(choice))
+
+    @rule()
+    def fill_disk_of_leader(self):
+        for node in self.cluster.leaders():
+            self.cluster.fill_disk(node)
+
+    @rule(choice=number)
+    def empty_disk(self, choice):
+        self.cluster.empty_disk(self.node(choice))
+
+
 def fuzz(machine, examples, steps=40, extra_phases=()):
     """Run a fuzzing state machine with a fixed seed."""
     run_state_machine_as_test(
@@ -336,6 +353,10 @@
         """Guards against acknowledged commands that faults lose or change."""
         fuzz(Faults, 250)
 
+    def test_replicas_with_full_disks_keep_what_they_acknowledged(self):
+        """The same for replicas whose disks refuse writes in between."""
+        fuzz(FullDiskFaults, 120)
+
     def test_five_replicas_keep_what_they_acknowledged(self):
         """The same for five replicas, of which two may fail at once."""
         fuzz(FiveFaults, 120)
