--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -8,6 +8,7 @@
 import grpc
 from litestar import Litestar
 
+from persimmonyard.daemon.background import BackgroundTasks
 from persimmonyard.daemon.control.assignments import AssignmentController
 from persimmonyard.daemon.control.inspection import (
     ControlComponents,
@@ -21,12 +22,14 @@
 from persimmonyard.daemon.control.sessions import SessionController
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.control.upstreams import UpstreamController
+from persimmonyard.daemon.disk_log import log_disk_event
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.settings import Settings
 from persimmonyard.replication import (
     LOG_DAMAGED,
     CoreConfig,
+    DiskEvent,
     FileStorage,
     LogDamagedError,
     Replica,
@@ -60,7 +63,7 @@
             self._retention,
         ]
         self._http: HttpServer | None = None
-        self._tasks: list[asyncio.Task] = []
+        self._background = BackgroundTasks(self._logger)
         # Resolves to a result code when the process must exit.
         self.failure: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
@@ -102,14 +105,11 @@
             settings.shutdown.drain_s,
         )
         await self._http.start()
-        for run_controller in (
-            self._watch_leadership,
-            self._assignments.run,
-            self._scheduling.run,
-            self._upstreams.run,
-            self._retention.run,
-        ):
-            self._tasks.append(asyncio.create_task(run_controller()))
+        self._background.start("leadership", self._watch_leadership)
+        self._background.start("assignments", self._assignments.run)
+        self._background.start("scheduling", self._scheduling.run)
+        self._background.start("upstreams", self._upstreams.run)
+        self._background.start("retention", self._retention.run)
         self._logger.info("listening", grpc_port=port, http_port=self._http.port)
 
     def _build_replica(self) -> Replica:
@@ -122,9 +122,17 @@
         )
         storage = FileStorage(Path(settings.control.data_folder))
         return Replica(
-            config, storage, self._transport, self._replicated_state, self._fail
+            config,
+            storage,
+            self._transport,
+            self._replicated_state,
+            self._fail,
+            self._on_disk_event,
         )
 
+    def _on_disk_event(self, event: DiskEvent) -> None:
+        log_disk_event(self._logger, event)
+
     def _fail(self, code: int) -> None:
         if not self.failure.done():
             self._logger.error("replica stopped", code=code)
@@ -133,11 +141,11 @@
     async def stop(self) -> None:
         """Stop the replica, which transfers leadership, then the servers."""
         await self._replica.stop()
-        # Ends the sessions, so that entries move to the next leader while the
-        # leases of this one are valid.
-        self._replicated_state.check_leadership()
-        for task in self._tasks:
-            task.cancel()
+        if self._http is not None:
+            # Ends the sessions, so that entries move to the next leader while
+            # the leases of this one are valid.
+            self._replicated_state.check_leadership()
+        self._background.cancel()
         await self._server.stop(1.0)
         if self._http is not None:
             await self._http.stop()
--- a/packages/daemon/src/persimmonyard/daemon/entry/leader.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/leader.py
@@ -15,6 +15,7 @@
     never_sent,
 )
 from persimmonyard.daemon.entry.session_stream import SessionStream
+from persimmonyard.daemon.logs import get_logger
 from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.state.commands import CommandResult, command_codec
 from persimmonyard.wire import EntryBeat, LeaderBeat
@@ -71,6 +72,7 @@
         self._batch_scheduled = False
         self._query_slots = asyncio.Semaphore(MAX_QUERIES_IN_FLIGHT)
         self._open_queries = 0
+        self._logger = get_logger("leader")
 
     async def run(self) -> None:
         """Keep a session with the current leader open."""
@@ -159,7 +161,8 @@
         self._calls.discard(call)
         if call.cancelled():
             return
-        call.result()
+        if call.exception() is not None:
+            self._logger.error("command call failed", exc_info=call.exception())
         if len(self._queue):
             self._schedule_batch()
 
--- a/packages/daemon/src/persimmonyard/daemon/entry/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/process.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+from persimmonyard.daemon.background import BackgroundTasks
 from persimmonyard.daemon.entry.access import Authenticator
 from persimmonyard.daemon.entry.announcements import AnnouncementApi
 from persimmonyard.daemon.entry.app import EntryApp
@@ -84,7 +85,8 @@
     async def start(self) -> None:
         """Start the session and the HTTP server."""
         settings = self._settings
-        self._session_task = asyncio.create_task(self._leader.run())
+        self._background = BackgroundTasks(self._logger)
+        self._background.start("session", self._leader.run)
         self._http = HttpServer(
             self._app.build(),
             settings.http.host,
@@ -113,7 +115,7 @@
         self._http.stop_listening()
         self._state.waiters.stop()
         await asyncio.gather(self._http.stop(), self._hand_over(deadline))
-        self._session_task.cancel()
+        self._background.cancel()
         await self._dispatcher.close()
         await self._task_client.close()
         await self._leader.close()
--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import os
 import random
 import time
 from collections.abc import Callable
@@ -12,7 +11,9 @@
 import grpc
 import msgspec
 
+from persimmonyard.daemon.background import BackgroundTasks
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
+from persimmonyard.daemon.disk_log import log_disk_event
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.jobs.durations import derive_durations
 from persimmonyard.daemon.jobs.inspection import describe_term, inspection_server
@@ -38,11 +39,14 @@
     LOG_DAMAGED,
     SYNC_FAILED,
     CoreConfig,
+    DiskEvent,
     FileStorage,
     LogDamagedError,
     MemberChangeError,
     Replica,
+    WriteRefusedError,
     boottime_now,
+    check_writable,
     initialize,
 )
 
@@ -62,8 +66,6 @@
 # or this many have failed, at this interval in seconds; it is then restarted.
 _MAX_DISK_CHECKS = 20
 _DISK_CHECK_INTERVAL_S = 0.5
-_DISK_CHECK_FILE = "probe"
-_DISK_CHECK_BYTES = 65_536
 # Ratio of the longest to the shortest election timeout, so that candidates
 # start at different times.
 _ELECTION_SPREAD = 1.6
@@ -96,7 +98,7 @@
         self._build_app = build_app
         self._process_started_at = process_started_at
         self._durations = derive_durations(settings.bounds)
-        self._tasks: list[asyncio.Task] = []
+        self._background = BackgroundTasks(self._log)
         self._http: HttpServer | None = None
         self.failure: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
@@ -127,7 +129,7 @@
         seed_addresses = {seed: self.peer_address(seed) for seed in seeds}
         folder = Path(self._settings.group.data_folder)
         if self._settings.group.first_start and self.name in seed_addresses:
-            self._initialize(folder, seed_addresses)
+            await self._initialize(folder, seed_addresses)
         peer_addresses = {**seed_addresses, self.name: self.peer_address(self.name)}
         self._transport = GrpcTransport(self.name, peer_addresses)
         config = CoreConfig(
@@ -142,7 +144,12 @@
             began_at=self._process_started_at,
         )
         self._replica = Replica(
-            config, FileStorage(folder), self._transport, self.store, self._fail
+            config,
+            FileStorage(folder),
+            self._transport,
+            self.store,
+            self._fail,
+            self._on_disk_event,
         )
         self._server = grpc.aio.server(options=MESSAGE_OPTIONS)
         self._server.add_generic_rpc_handlers((call_handler(self._answer),))
@@ -164,11 +171,9 @@
         await self._http.start()
         await self._start_inspection()
         self._leader_client.add_seeds(list(seed_addresses.values()))
-        self._tasks = [
-            asyncio.create_task(self._watch_leadership()),
-            asyncio.create_task(self._join_group()),
-            asyncio.create_task(self._remove_silent_voters()),
-        ]
+        self._background.start("leadership", self._watch_leadership)
+        self._background.start("membership", self._join_group)
+        self._background.start("silent voters", self._remove_silent_voters)
         self._log.info("listening", control=self.own_address(), members=seeds)
 
     async def _start_inspection(self) -> None:
@@ -200,11 +205,21 @@
             dump["leadership"] = describe_term(self.leader_term)
         return dump
 
-    def _initialize(self, folder: Path, seed_addresses: dict[str, str]) -> None:
-        try:
-            initialize(folder, self.name, seed_addresses)
-        except FileExistsError:
-            self._log.info("the data folder is in use already")
+    async def _initialize(self, folder: Path, seed_addresses: dict[str, str]) -> None:
+        """Initialize the data folder; wait while it refuses writes."""
+        while True:
+            try:
+                initialize(folder, self.name, seed_addresses)
+            except FileExistsError:
+                self._log.info("the data folder is in use already")
+            except WriteRefusedError as error:
+                self._log.warning("disk refuses writes", error=str(error))
+                await asyncio.sleep(_DISK_CHECK_INTERVAL_S)
+                continue
+            return
+
+    def _on_disk_event(self, event: DiskEvent) -> None:
+        log_disk_event(self._log, event)
 
     def _fail(self, code: int) -> None:
         if not self.failure.done():
@@ -221,8 +236,7 @@
         """Transfer leadership, finish the calls in progress and stop."""
         await self._replica.stop()
         self._end_leadership()
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
         if self._http is not None:
             await self._http.stop()
             await self._inspection.stop()
@@ -241,7 +255,7 @@
         folder = Path(self._settings.group.data_folder)
         for _ in range(_MAX_DISK_CHECKS):
             try:
-                await asyncio.to_thread(_check_disk_write, folder)
+                await asyncio.to_thread(check_writable, folder)
             except OSError as error:
                 self._log.warning("disk refuses writes", error=str(error))
                 await asyncio.sleep(_DISK_CHECK_INTERVAL_S)
@@ -377,15 +391,3 @@
             return CallReply(Outcome.UNKNOWN)
         self._log.info("member added", member=call.name)
         return CallReply(Outcome.OK)
-
-
-def _check_disk_write(folder: Path) -> None:
-    """Write and sync a file as large as a frame of the log, and remove it."""
-    path = folder / _DISK_CHECK_FILE
-    try:
-        with open(path, "wb") as file:
-            file.write(bytes(_DISK_CHECK_BYTES))
-            file.flush()
-            os.fsync(file.fileno())
-    finally:
-        path.unlink(missing_ok=True)
--- a/packages/daemon/src/persimmonyard/daemon/main.py
+++ b/packages/daemon/src/persimmonyard/daemon/main.py
@@ -1,40 +1,23 @@
 """The daemon's command line, which runs one process in one role."""
 
 import asyncio
-import signal
 import sys
-from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Protocol
+from typing import Annotated
 
 import typer
 
-from persimmonyard.daemon.logs import configure_logging, get_logger
+from persimmonyard.daemon.logs import configure_logging
+from persimmonyard.daemon.serving import DaemonProcess, serve_process
 from persimmonyard.daemon.settings import Settings, load_settings
 from persimmonyard.model import ResultCode, UserError
 from persimmonyard.replication import initialize
 
-__all__ = ["DaemonProcess", "run", "serve_process"]
-
-FAILURE_EXIT_STATUS = 3
+__all__ = ["run"]
 
 app = typer.Typer(add_completion=False, help="Run one persimmonyard process.")
 
 
-class DaemonProcess(Protocol):
-    """A process that the daemon runs; its role decides the implementation.
-
-    It may have an attribute ``failure``, a future that receives a result
-    code if the process cannot continue.
-    """
-
-    async def start(self) -> None:
-        """Start serving."""
-
-    async def stop(self) -> None:
-        """Shut down gracefully."""
-
-
 def _build_process(settings: Settings) -> DaemonProcess:
     if settings.process.role == "entry":
         from persimmonyard.daemon.entry.process import EntryProcess
@@ -45,33 +28,6 @@
     return ControlProcess(settings)
 
 
-async def serve_process(build: Callable[[], DaemonProcess], role: str) -> int:
-    """Serve until a signal or a failure; return the exit status.
-
-    ``build`` is called in the event loop.  ``role`` is only logged.  If the
-    process has a method ``reload``, it is called on SIGHUP.
-    """
-    logger = get_logger("daemon")
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    process = build()
-    reload = getattr(process, "reload", None)
-    if reload is not None:
-        loop.add_signal_handler(signal.SIGHUP, reload)
-    failure: asyncio.Future[int] | None = getattr(process, "failure", None)
-    if failure is not None:
-        failure.add_done_callback(lambda _: stop.set())
-    await process.start()
-    logger.info("started", role=role)
-    await stop.wait()
-    logger.info("stopping")
-    await process.stop()
-    logger.info("stopped")
-    return FAILURE_EXIT_STATUS if failure is not None and failure.done() else 0
-
-
 SettingsFile = Annotated[Path, typer.Option(help="The TOML settings file.")]
 
 
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -56,6 +56,18 @@
         await wait_until(lambda: record.state() == JobState.COMPLETED)
         await wait_until(lambda: self.upstream.acknowledged_end == 1)
 
+    async def test_failed_task_ends_the_term(self):
+        """Guards against a leader that goes on without one of its tasks.
+
+        The process replaces a term that has failed.
+        """
+
+        async def fail():
+            raise ValueError("unexpected")
+
+        self.leader.term.spawn(fail())
+        await wait_until(lambda: self.leader.term.failed)
+
     async def test_end_is_committed_before_it_is_acknowledged(self):
         """Guards against an end that is lost.
 
--- a/test/daemon/jobs/test_log_table.py
+++ b/test/daemon/jobs/test_log_table.py
@@ -9,11 +9,13 @@
 SOURCES = (
     ROOT / "packages/daemon/src/persimmonyard/daemon/jobs",
     ROOT / "packages/daemon/src/persimmonyard/daemon/control/transport.py",
-    ROOT / "packages/daemon/src/persimmonyard/daemon/main.py",
+    ROOT / "packages/daemon/src/persimmonyard/daemon/serving.py",
+    ROOT / "packages/daemon/src/persimmonyard/daemon/background.py",
+    ROOT / "packages/daemon/src/persimmonyard/daemon/disk_log.py",
     ROOT / "platform/src",
 )
 LOG_TABLE = ROOT / "docs/logging.md"
-LEVELS = {"info", "warning", "error"}
+LEVELS = {"info", "warning", "error", "exception"}
 # Fields that the page documents above the table.
 COMMON_FIELDS = {"term", "job", "task", "run", "upstream", "exc_info"}
 
--- a/test/daemon/test_service.py
+++ b/test/daemon/test_service.py
@@ -220,5 +220,6 @@
 
         replica.stop = hand_over
         process._server = unittest.mock.Mock(stop=wait_for_calls)
+        process._http = unittest.mock.AsyncMock()
         await process.stop()
         self.assertEqual([True], closed_when_waiting)
--- a/test/platform_adapter/test_end_to_end.py
+++ b/test/platform_adapter/test_end_to_end.py
@@ -10,6 +10,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import httpx
 
@@ -333,6 +334,18 @@
         await wait_until(self.controls[lost]._is_member, 20.0)
         await wait_until(lambda: self.controls[lost].store.configuration is not None)
 
+    async def test_unexpected_error_ends_one_call_only(self):
+        """Guards against a process that one unexpected error takes down."""
+        await wait_until(lambda: self.leader_ip() is not None)
+        leader = self.controls[self.leader_ip()]
+        url = f"http://{leader.own_address()}/api/config"
+        with mock.patch.object(
+            leader.operators, "execute", side_effect=ZeroDivisionError
+        ):
+            failed = await self.operator.get(url)
+        self.assertEqual(500, failed.status_code)
+        self.assertEqual(200, (await self.operator.get(url)).status_code)
+
     async def test_entry_is_ready_only_with_a_leader(self):
         """Guards against routing callers to an entry that has no leader.
 
