--- a/packages/daemon/src/persimmonyard/daemon/control/transport.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/transport.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from persimmonyard.daemon.logs import get_logger
+from persimmonyard.daemon.message_limits import MAX_MESSAGE_BYTES
 from persimmonyard.replication import (
     Message,
     decode_batch,
@@ -29,9 +30,6 @@
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
 
-# The largest log entry holds the answers of a gang: 256 answers of
-# 65,536 bytes.
-MAX_MESSAGE_BYTES = 32 << 20
 MESSAGE_OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -167,6 +165,9 @@
                         delay = INITIAL_RETRY_DELAY_S
             except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
                 self._logger.info("stream ended", peer=peer, error=str(error))
+            except Exception:
+                # A stream that is not opened again cuts the peer off for good.
+                self._logger.exception("stream failed", peer=peer)
             await asyncio.sleep(delay * random.uniform(0.5, 1.0))
             delay = min(MAX_RETRY_DELAY_S, delay * 2)
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -6,7 +6,6 @@
 import grpc
 import msgspec
 
-from persimmonyard.daemon.control.transport import MAX_MESSAGE_BYTES
 from persimmonyard.daemon.jobs.rpc import (
     CALL_METHOD,
     Call,
@@ -20,6 +19,7 @@
     encode,
 )
 from persimmonyard.daemon.logs import get_logger
+from persimmonyard.daemon.message_limits import MAX_MESSAGE_BYTES
 from persimmonyard.replication import boottime_now
 
 __all__ = ["CHANNEL_OPTIONS", "LeaderClient"]
