Take due times and waiting times from a clock that does not jump

Cause: the leader took the time of day from the system for due times, submission times, waiting times and the retention of ended jobs. A jump forward starts scheduled jobs early by the jump and makes all work look late, which makes it stop other work; a jump back hides how long urgent work has waited.

Ruled out: the clocks of upstreams (they start with their boot) and of the other control processes (messages carry steady clocks only).

Retention counts on the leader's steady clock.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -33,6 +33,7 @@
 )
 from persimmonyard.daemon.jobs.settings import JobSettings
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
+from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.jobs import Command, JobStore, encode_command
 from persimmonyard.replication import (
@@ -92,6 +93,7 @@
         self.store = JobStore()
         self.leader_term: LeaderTerm | None = None
         self._metrics = JobMetrics()
+        self._wall_clock = SteadyWallClock()
         self.service = JobService(self.store, lambda: self.leader_term, self._metrics)
         self._leader_client = LeaderClient([])
         self.operators = OperatorService(self.service, self._leader_client)
@@ -283,6 +285,7 @@
             self._propose,
             self._replica.is_leader,
             self._metrics,
+            self._wall_clock,
         )
         self.leader_term.start()
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -134,7 +134,7 @@
             job_id=job_id,
             route=resolved.route.name,
             account=resolved.account,
-            submitted_ms=int(time.time() * 1_000),
+            submitted_ms=term.wall_clock.now_ms(),
         )
         await term.commit(SubmitJob(job))
         term.job_log.log_accepted(job)
@@ -145,7 +145,7 @@
         if record is None:
             return CallReply(Outcome.NO_JOB)
         if record.is_active():
-            await term.commit(CancelJob(job_id, int(time.time() * 1_000)))
+            await term.commit(CancelJob(job_id, term.wall_clock.now_ms()))
             term.stop_job(job_id, "cancelled")
         return CallReply(Outcome.OK, state=str(record.state()))
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -1,7 +1,6 @@
 """One term of the control leader: it plans, starts and supervises runs."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -14,6 +13,7 @@
 from persimmonyard.daemon.jobs.task_run import RunState, TaskRun
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
 from persimmonyard.daemon.jobs.upstream_registry import UpstreamRegistry
+from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.jobs import (
     Command,
@@ -69,6 +69,7 @@
         propose: Callable[[Command], Awaitable[Any]],
         leads: Callable[[], bool],
         metrics: JobMetrics,
+        wall_clock: SteadyWallClock,
         now: Callable[[], float] = boottime_now,
     ):
         self.store = store
@@ -78,6 +79,8 @@
         self._leads = leads
         self._closed = False
         self.now = now
+        self.wall_clock = wall_clock
+        self._ended_job_seen_at: dict[str, float] = {}
         self.log = get_logger("jobs").bind(term=fence)
         self.fleet = Fleet(durations.heartbeat_s)
         self._metrics = metrics
@@ -278,7 +281,7 @@
     async def record_ends(self, session: UpstreamSession, ends: list[RunEnd]) -> None:
         """Commit ends, log them and stop the runs that became useless."""
         active_jobs = self._active_jobs(ends)
-        await self.propose(EndRuns(tuple(ends), int(time.time() * 1_000)))
+        await self.propose(EndRuns(tuple(ends), self.wall_clock.now_ms()))
         for record in active_jobs:
             if not record.is_active():
                 self.job_log.log_end(record)
@@ -410,13 +413,28 @@
             if not self.leads():
                 return
             self._remove_silent_upstreams()
-            before = int(time.time() * 1_000) - self.durations.retention_ms
-            expired = []
-            for record in self.store.job_by_id.values():
-                if not record.ended_ms or record.ended_ms > before:
-                    continue
-                if any(unit.seats for unit in record.units.values()):
-                    continue
-                expired.append(record.job.job_id)
+            expired = self._expired_jobs()
             if expired:
                 await self.propose(ExpireJobs(tuple(expired[:_MAX_EXPIRED_JOBS])))
+
+    def _expired_jobs(self) -> list[str]:
+        """Return the ended jobs that need not be kept any longer.
+
+        The retention time counts on the steady clock from when this leader
+        first saw the job ended, because the clocks of two leaders may differ.
+        """
+        now = self.now()
+        seen_at_by_id = self._ended_job_seen_at
+        self._ended_job_seen_at = {}
+        expired = []
+        for job_id, record in self.store.job_by_id.items():
+            if not record.ended_ms:
+                continue
+            seen_at = seen_at_by_id.get(job_id, now)
+            self._ended_job_seen_at[job_id] = seen_at
+            if now < seen_at + self.durations.retention_ms / 1_000:
+                continue
+            if any(unit.seats for unit in record.units.values()):
+                continue
+            expired.append(job_id)
+        return expired
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
@@ -69,12 +69,15 @@
         due_at_ms = self._planner.next_due_ms
         if due_at_ms is None:
             return _REPLAN_S
-        return min(_REPLAN_S, max(0.01, due_at_ms / 1_000 - time.time()))
+        due_in_s = due_at_ms / 1_000 - self._term.wall_clock.now_s()
+        return min(_REPLAN_S, max(0.01, due_in_s))
 
     async def _plan(self) -> None:
         started_at = time.perf_counter()
         runs = self._run_progress()
-        plan = self._planner.plan(self._term.now(), int(time.time() * 1_000), runs)
+        plan = self._planner.plan(
+            self._term.now(), self._term.wall_clock.now_ms(), runs
+        )
         self._last_plan_s = time.perf_counter() - started_at
         if plan.truncated:
             self.request_plan()
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -1,6 +1,7 @@
 """In-memory upstreams, and a leader's term without a replicated log."""
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 
 from persimmonyard.daemon.jobs.durations import Durations
@@ -14,7 +15,9 @@
     RunListing,
     RunningRun,
 )
+from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.jobs import JobStore, PutConfiguration, TaskEnd
+from persimmonyard.replication import boottime_now
 from test.jobs.fixtures import configuration, report
 
 DURATIONS = Durations(
@@ -158,7 +161,16 @@
 class InMemoryLeader:
     """A leader's term on a job store without replication."""
 
-    def __init__(self, upstreams, store=None, fence=1, durations=DURATIONS):
+    def __init__(
+        self,
+        upstreams,
+        store=None,
+        fence=1,
+        durations=DURATIONS,
+        system_clock=time.time,
+        steady_clock=boottime_now,
+    ):
+        self.wall_clock = SteadyWallClock(steady_clock, system_clock)
         self.store = store or JobStore()
         self.store.execute(PutConfiguration(configuration()))
         self.leading = True
@@ -171,6 +183,7 @@
             self.propose,
             lambda: self.leading,
             JobMetrics(),
+            self.wall_clock,
         )
 
     async def propose(self, command):
