Repeat an election that split the votes before an election timeout passes

Ruled out: shorter election timeouts (a leader that is slow for half a second would lose its leadership).

Change: a candidate that was not elected tries again after a quarter to three quarters of the shortest timeout. A quorum has just agreed that there is no leader, and the new round begins with a pre-vote, so it disturbs nobody.

The new test failed before.

--- a/packages/replication/src/persimmonyard/replication/election.py
+++ b/packages/replication/src/persimmonyard/replication/election.py
@@ -20,6 +20,11 @@
 __all__ = ["Election"]
 
 
+# Shares of the shortest election timeout after which a candidate that has not
+# been elected tries again.
+_RETRY_SHARES = (0.25, 0.75)
+
+
 class Election:
     """Starts elections and votes in them, for one replica core.
 
@@ -105,6 +110,12 @@
         core.role = Role.CANDIDATE
         core.leader_id = ""
         core.emit(RoleChanged(core.role, core.term))
+        # Two candidates may split the votes.  Each retries after a fraction of
+        # an election timeout, because a quorum has just agreed that there is
+        # no leader.
+        self.deadline = core.now + core.config.election_min_s * core.random.uniform(
+            *_RETRY_SHARES
+        )
         core.after_sync(lambda: self._request_votes(transfer))
 
     def _request_votes(self, transfer: bool) -> None:
--- a/test/replication/test_core.py
+++ b/test/replication/test_core.py
@@ -335,6 +335,22 @@
         self.assertFalse(core.is_leader(1.3))
         self.assertEqual(core.role, events.Role.LEADER)
 
+    def test_split_vote_is_repeated_before_an_election_timeout(self):
+        """Guards against two election timeouts without a leader.
+
+        Two of four replicas campaign at the same moment, and each votes for
+        itself.
+        """
+        durable = DurableState(snapshot=SnapshotMeta(0, 0, self.MEMBERS))
+        core = ReplicaCore(self.CONFIG, durable, 0.0)
+        now = core.next_deadline()
+        core.step(events.Tick(), now)
+        core.step(events.Received("b", PreVoteReply(1, True, "0", 0)), now)
+        self.assertEqual(events.Role.CANDIDATE, core.role)
+        core.step(events.Synced(1), now)
+        core.step(events.Received("b", VoteReply(1, False, "0")), now)
+        self.assertLess(core.next_deadline(), now + self.CONFIG.election_min_s)
+
     def test_replica_refuses_votes_after_its_start(self):
         """Guards against two leaders after a replica restarts.
 
