Reject calls without a leader after the time of a failover

Cause: while all control processes are gone for seconds, entries held every call until its deadline and then answered 503, too late for the caller to come back.

Ruled out: rejecting at once (a failover lasts about a second, and a call that waits is then served without another attempt); giving up calls in doubt earlier (a process may have executed them, so a rejection would be untrue).

Change: jobs/leader_wait decides, apart from input and output: a call waits for the time of a failover since the loss was noticed, spread by up to a quarter, then it is rejected with Retry-After.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
@@ -33,6 +33,7 @@
 _REPLICA_HEARTBEAT_SHARE = 1 / 15
 _ELECTION_TIMEOUT_SHARE = 0.27
 _LEADER_LEASE_SHARE = 0.235
+_FAILOVER_SHARE = 0.6
 # Upper limit of that time in the durations of the replicated log, in ms: where
 # the platform allows more, failover need not be slower.
 _MAX_CONTACT_MS = 3_000
@@ -45,10 +46,12 @@
 
     ``replica_heartbeat_s``, ``election_timeout_s`` and ``leader_lease_s`` are
     for the replicated log; an election begins after 1 to 1.6 times
-    ``election_timeout_s`` without a leader.  ``heartbeat_s`` is the interval
-    of upstreams' reports.  ``wait_ms`` is how long an upstream may wait for an
-    end in a poll.  A stopping entry accepts new calls for ``notice_s`` after
-    it reports as not ready, and calls in progress get ``drain_s`` more.
+    ``election_timeout_s`` without a leader.  ``failover_s`` is how long a
+    failover takes at most, in which a leader is lost and replaced.
+    ``heartbeat_s`` is the interval of upstreams' reports.  ``wait_ms`` is how
+    long an upstream may wait for an end in a poll.  A stopping entry accepts
+    new calls for ``notice_s`` after it reports as not ready, and calls in
+    progress get ``drain_s`` more.
     """
 
     lease_ms: int
@@ -63,6 +66,7 @@
     replica_heartbeat_s: float
     election_timeout_s: float
     leader_lease_s: float
+    failover_s: float
 
 
 def derive_durations(bounds: BoundSettings) -> Durations:
@@ -81,4 +85,5 @@
         replica_heartbeat_s=contact_s * _REPLICA_HEARTBEAT_SHARE,
         election_timeout_s=contact_s * _ELECTION_TIMEOUT_SHARE,
         leader_lease_s=contact_s * _LEADER_LEASE_SHARE,
+        failover_s=contact_s * _FAILOVER_SHARE,
     )
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -44,7 +44,7 @@
         self._build_apps = build_apps
         self._log = get_logger("entry")
         self._durations = derive_durations(settings.bounds)
-        self.client = LeaderClient(peer_seeds(settings))
+        self.client = LeaderClient(peer_seeds(settings), self._durations.failover_s)
         self.metrics = JobMetrics()
         self.metrics.add_gauge(
             "ready", "1 if callers should be sent here.", lambda: self._leader_reached
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -1,6 +1,7 @@
 """Client for calls from an entry or control process to the control leader."""
 
 import asyncio
+import math
 import random
 
 import grpc
@@ -20,6 +21,12 @@
 )
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.message_limits import MAX_MESSAGE_BYTES
+from persimmonyard.jobs import (
+    ComeBack,
+    KeepWaiting,
+    LeaderLoss,
+    decide_without_leader,
+)
 from persimmonyard.replication import boottime_now
 
 __all__ = ["CHANNEL_OPTIONS", "LeaderClient"]
@@ -53,13 +60,18 @@
 class LeaderClient:
     """Finds the leader among the control processes and sends calls to it.
 
-    ``seeds`` are gRPC addresses; replies add further ones.
+    ``seeds`` are gRPC addresses; replies add further ones.  A call of a caller
+    is rejected before its deadline once there has been no leader for
+    ``failover_s`` seconds.
     ``leader_seen_at`` is when a leader last answered, in seconds of the
     monotonic clock.  ``persimmonyard.daemon.entry.leader`` has another class
     of this name, for the entry role of the request service.
     """
 
-    def __init__(self, seeds: list[str]):
+    def __init__(self, seeds: list[str], failover_s: float = math.inf):
+        self._failover_s = failover_s
+        # When a call first found no leader, since the last answer of one.
+        self._missed_since: float | None = None
         self._known_addresses = list(seeds)
         self._leader = ""
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
@@ -91,14 +103,18 @@
         """Return the leader's reply.
 
         If there is none within ``within_s``, the outcome is ``UNKNOWN`` if a
-        process may have executed the call, else ``NOT_LEADER``.
+        process may have executed the call, else ``NOT_LEADER``.  A job call
+        may get ``NOT_LEADER`` earlier, see ``decide_without_leader``.
         """
         deadline = boottime_now() + within_s
         in_doubt = False
+        spread = random.random()
         tried: set[str] = set()
         while (remaining_s := deadline - boottime_now()) > 0:
             address = self._next_address(tried)
             if address is None:
+                if isinstance(call, JobCall) and self._gives_up(in_doubt, spread):
+                    break
                 tried.clear()
                 await asyncio.sleep(
                     min(remaining_s, _RETRY_DELAY_S * random.uniform(0.5, 1.5))
@@ -120,6 +136,18 @@
             return reply
         return CallReply(Outcome.UNKNOWN if in_doubt else Outcome.NOT_LEADER)
 
+    def _gives_up(self, in_doubt: bool, spread: float) -> bool:
+        """Return whether a call that has found no leader is rejected."""
+        now = boottime_now()
+        if self._missed_since is None:
+            self._missed_since = now
+        loss = LeaderLoss(now, self._missed_since, self._failover_s, in_doubt, spread)
+        match decide_without_leader(loss):
+            case ComeBack():
+                return True
+            case KeepWaiting():
+                return False
+
     async def forward(self, order: OperatorOrder, within_s: float) -> CallReply:
         """Send an operator's order to the leader at most once.
 
@@ -160,6 +188,7 @@
         if self._leader != address or self.leader_seen_at == float("-inf"):
             self._log.info("leader found", address=address)
         self._leader = address
+        self._missed_since = None
         self.leader_seen_at = boottime_now()
 
     async def _attempt_with_failover(
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -32,6 +32,12 @@
 )
 from persimmonyard.jobs.fleet import Fleet, Upstream, UpstreamReport
 from persimmonyard.jobs.health import UpstreamHealth
+from persimmonyard.jobs.leader_wait import (
+    ComeBack,
+    KeepWaiting,
+    LeaderLoss,
+    decide_without_leader,
+)
 from persimmonyard.jobs.model import (
     GANG_TASK,
     Job,
@@ -50,6 +56,7 @@
     "GANG_TASK",
     "AccountSpec",
     "CancelJob",
+    "ComeBack",
     "Command",
     "EndRuns",
     "ExpireJobs",
@@ -60,6 +67,8 @@
     "JobRecord",
     "JobState",
     "JobStore",
+    "KeepWaiting",
+    "LeaderLoss",
     "Limits",
     "NoteUpstreams",
     "PlaceRuns",
@@ -87,6 +96,7 @@
     "UpstreamHealth",
     "UpstreamReport",
     "configuration_problem",
+    "decide_without_leader",
     "decode_command",
     "encode_command",
 ]
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -33,6 +33,7 @@
     replica_heartbeat_s=0.1,
     election_timeout_s=0.4,
     leader_lease_s=0.3,
+    failover_s=1.0,
 )
 CLOCK_MS = 1_000
 
--- a/test/daemon/jobs/test_leader_client.py
+++ b/test/daemon/jobs/test_leader_client.py
@@ -58,6 +58,26 @@
         reply = await client.call(SUBMIT_CALL, 0.7)
         self.assertEqual(Outcome.NOT_LEADER, reply.outcome)
 
+    async def test_lost_leader_is_told_before_the_deadline(self):
+        """Guards against callers that are held although nobody leads.
+
+        Other calls of processes go on until their own deadline.
+        """
+
+        async def follow(call, context):
+            return CallReply(Outcome.NOT_LEADER)
+
+        address = f"127.0.0.1:{await self.serve(follow)}"
+        client = LeaderClient([address], failover_s=0.2)
+        self.addAsyncCleanup(client.close)
+        call = client.call(SUBMIT_CALL, 600.0)
+        reply = await asyncio.wait_for(call, 60.0)
+        self.assertEqual(Outcome.NOT_LEADER, reply.outcome)
+        probe = asyncio.create_task(client.call(Probe(), 600.0))
+        done, _ = await asyncio.wait({probe}, timeout=1.0)
+        self.assertEqual(set(), done)
+        probe.cancel()
+
     async def test_call_that_was_received_stays_in_doubt(self):
         """Guards against "not leader" for a call that a process received."""
 
