--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -61,11 +61,12 @@
     """Finds the leader among the control processes and sends calls to it.
 
     ``seeds`` are gRPC addresses; replies add further ones.  A call of a caller
-    is rejected before its deadline once there has been no leader for
-    ``failover_s`` seconds.
-    ``leader_seen_at`` is when a leader last answered, in seconds of the
-    monotonic clock.  ``persimmonyard.daemon.entry.leader`` has another class
-    of this name, for the entry role of the request service.
+    is rejected before its deadline once there has been no leader for about
+    ``failover_s`` seconds.  ``leader_seen_at`` is when a leader last answered,
+    in seconds of the monotonic clock.
+
+    ``persimmonyard.daemon.entry.leader`` has another class of this name, for
+    the entry role of the request service.
     """
 
     def __init__(self, seeds: list[str], failover_s: float = math.inf):
@@ -113,7 +114,7 @@
         while (remaining_s := deadline - boottime_now()) > 0:
             address = self._next_address(tried)
             if address is None:
-                if isinstance(call, JobCall) and self._gives_up(in_doubt, spread):
+                if isinstance(call, JobCall) and self._is_rejected(in_doubt, spread):
                     break
                 tried.clear()
                 await asyncio.sleep(
@@ -136,8 +137,8 @@
             return reply
         return CallReply(Outcome.UNKNOWN if in_doubt else Outcome.NOT_LEADER)
 
-    def _gives_up(self, in_doubt: bool, spread: float) -> bool:
-        """Return whether a call that has found no leader is rejected."""
+    def _is_rejected(self, in_doubt: bool, spread: float) -> bool:
+        """Return whether a caller's call that has found no leader ends now."""
         now = boottime_now()
         if self._missed_since is None:
             self._missed_since = now
