Name the runs that are lost with an upstream in the log

The line "runs lost" told how many runs were lost, so a log could not show whether one task was behind several crashes, nor whether its starts had been answered. It now lists the newest 16 runs with state and age, and the address; "run ended" has the number of failed runs that count, "upstream appears" the address. The new test failed before (no key "tasks").

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -199,6 +199,7 @@
                 "upstream appears",
                 upstream=report.upstream_id,
                 incarnation=report.incarnation,
+                address=report.address,
                 zone=report.zone,
                 rack=report.rack,
                 service=report.service,
@@ -308,6 +309,7 @@
         now = self.now()
         self._metrics.record_end(str(end.end))
         record = self.store.job_by_id.get(end.key.job_id)
+        unit = record.units[end.key] if record is not None else None
         self.log.info(
             "run ended",
             job=end.key.job_id,
@@ -317,6 +319,7 @@
             end=str(end.end),
             reason=task_run.stop_reason,
             saved=bool(end.checkpoint),
+            failures=unit.failures if unit is not None else 0,
             state=str(record.state()) if record is not None else "unknown",
         )
         if end.end == TaskEnd.DONE:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -36,6 +36,8 @@
 # A poll that only acknowledges ends is delayed this long, in seconds: if new
 # work arrives in that time, its poll acknowledges them as well.
 _ACKNOWLEDGE_DELAY_S = 0.3
+# At most this many runs are named in one log line.
+_MAX_LOGGED_RUNS = 16
 
 
 class UpstreamSession:
@@ -114,11 +116,33 @@
             self._term.log.warning(
                 "runs lost",
                 upstream=self.upstream.report.upstream_id,
+                address=self.upstream.report.address,
                 runs=len(ends),
+                tasks=self._describe_lost_runs(),
                 reason=reason,
             )
             await self._term.record_ends(self, ends)
 
+    def _describe_lost_runs(self) -> list[str]:
+        """Return "job occurrence.step.task/run, state, age" of some runs.
+
+        The age is the time since the placement, or since the beginning of
+        the term for an inherited run.  The newest runs come first.
+        """
+        now = self._term.now()
+        newest = sorted(
+            self.task_run_by_key.values(), key=lambda task_run: -task_run.placed_at
+        )
+        described = []
+        for task_run in newest[:_MAX_LOGGED_RUNS]:
+            task_key = task_run.task_key
+            age_ms = int((now - task_run.placed_at) * 1_000)
+            described.append(
+                f"{task_key.job_id} {task_key.log_label()}/{task_run.run}, "
+                f"{task_run.state}, {age_ms} ms"
+            )
+        return described
+
     async def _poll_loop(self) -> None:
         while True:
             if not self.task_run_by_key:
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -145,6 +145,18 @@
         self.assertEqual(2, self.upstream.started[0][1])
         self.assertEqual(JobState.RUNNING, record.state())
 
+    async def test_lost_runs_are_named_in_the_log(self):
+        """Guards against a log that tells how many runs were lost, not which."""
+        self.leader.report("u1")
+        await self.submit(step())
+        await self.wait_for_start()
+        with capture_logs() as lines:
+            self.leader.report("u1", sequence=2, leaving=True)
+            await self.leader.term.mark_upstream_left("u1")
+        lost = [line for line in lines if line["event"] == "runs lost"]
+        self.assertEqual(1, len(lost))
+        self.assertTrue(lost[0]["tasks"][0].startswith(f"{JOB_ID} 0.0.0/1, "))
+
     async def test_start_that_reaches_a_new_incarnation_is_stopped(self):
         """Guards against a run of an old placement on a restarted upstream."""
         self.leader.report("u1")
