--- /dev/null
+++ b/test/daemon/jobs/crashing_upstreams.py
@@ -0,0 +1,98 @@
+"""In-memory upstreams that crash under certain tasks and start again."""
+
+import asyncio
+
+from persimmonyard.daemon.jobs.upstream_client import (
+    NoAnswerError,
+    OrderReply,
+    OrderResult,
+)
+from test.daemon.jobs.fakes import FakeUpstreamClient, clock_ms
+from test.jobs.fixtures import report
+
+# How long a crashed upstream is down, in seconds.
+DOWN_S = 0.05
+
+
+class CrashingUpstreamClient(FakeUpstreamClient):
+    """An upstream client whose upstreams crash when a deadly task starts.
+
+    ``is_deadly`` decides by the key of the task.  A crashed upstream comes
+    back at the same address, under a new identifier unless ``keeps_id`` is
+    true, and reports to ``observe``.
+    """
+
+    def __init__(self, is_deadly, keeps_id=False):
+        super().__init__()
+        self.is_deadly = is_deadly
+        self.keeps_id = keeps_id
+        self.observe = None
+        self.id_by_address = {}
+        self.down = set()
+        self.deadly_starts = []
+        self.lost_runs = []
+        self.tasks_ = set()
+
+    def boot(self, name, incarnation=1):
+        """Start an upstream and report it."""
+        upstream = self.add(name)
+        upstream.incarnation = incarnation
+        upstream_id = name if self.keeps_id else f"{name}-{incarnation}"
+        self.id_by_address[f"{name}:80"] = upstream_id
+        self.observe(
+            report(
+                upstream_id,
+                rack=name,
+                incarnation=incarnation,
+                clock_ms=clock_ms(),
+            )._replace(address=f"{name}:80")
+        )
+        return upstream
+
+    def crash(self, address):
+        """End an upstream with all its runs; another one boots later."""
+        upstream = self.by_address[address]
+        self.lost_runs += upstream.running.items()
+        self.down.add(address)
+        upstream.running.clear()
+        task = asyncio.create_task(self._boot_later(address))
+        self.tasks_.add(task)
+        task.add_done_callback(self.tasks_.discard)
+
+    async def _boot_later(self, address):
+        await asyncio.sleep(DOWN_S)
+        incarnation = self.by_address[address].incarnation + 1
+        self.down.discard(address)
+        self.boot(address.removesuffix(":80"), incarnation)
+
+    def _reach(self, target):
+        if target.address in self.down:
+            raise NoAnswerError("refused")
+        return super()._reach(target)
+
+    def _is_other(self, target):
+        return self.id_by_address[target.address] != target.upstream_id
+
+    async def start(self, target, order):
+        await asyncio.sleep(0)
+        self._reach(target)
+        if self._is_other(target):
+            return OrderReply(OrderResult.OTHER_UPSTREAM)
+        reply = await super().start(target, order)
+        if self.is_deadly(order.task_key) and reply.result == OrderResult.DONE:
+            self.deadly_starts.append((order.task_key, order.run))
+            self.crash(target.address)
+            raise NoAnswerError("connection closed")
+        return reply
+
+    async def stop(self, target, task_key, run, fence):
+        self._reach(target)
+        if self._is_other(target):
+            return OrderReply(OrderResult.OTHER_UPSTREAM)
+        return await super().stop(target, task_key, run, fence)
+
+    async def renew(self, target, until_ms, fence, acknowledged_end, wait_ms):
+        self._reach(target)
+        if self._is_other(target):
+            return OrderReply(OrderResult.OTHER_UPSTREAM)
+        return await super().renew(target, until_ms, fence, acknowledged_end, wait_ms)
