--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -6,9 +6,16 @@
 
 import msgspec
 
+from persimmonyard.daemon.jobs.explanation import explain_job
 from persimmonyard.daemon.jobs.leader_term import LeaderTerm
 from persimmonyard.daemon.jobs.metrics import JobMetrics
-from persimmonyard.daemon.jobs.rpc import CallReply, JobCall, Outcome, Verb
+from persimmonyard.daemon.jobs.rpc import (
+    EXPLAIN_SUFFIX,
+    CallReply,
+    JobCall,
+    Outcome,
+    Verb,
+)
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.jobs import (
     CancelJob,
@@ -97,7 +104,10 @@
             return CallReply(
                 Outcome.OK, count=self._store.count_queued(resolved.route.name)
             )
-        job_id = parse_job_id(resolved.path_suffix)
+        path_suffix = resolved.path_suffix
+        if call.verb == Verb.EXPLAIN:
+            path_suffix = path_suffix.removesuffix(EXPLAIN_SUFFIX)
+        job_id = parse_job_id(path_suffix)
         if job_id is None:
             return CallReply(Outcome.NO_ROUTE, detail="not a job identifier")
         match call.verb:
@@ -108,7 +118,10 @@
         record = self._store.job_by_id.get(job_id)
         if record is None:
             return CallReply(Outcome.NO_JOB)
-        return CallReply(Outcome.OK, state=str(record.state()))
+        content = b""
+        if call.verb == Verb.EXPLAIN:
+            content = msgspec.json.encode(explain_job(record))
+        return CallReply(Outcome.OK, state=str(record.state()), content=content)
 
     def _resolve(self, call: JobCall) -> _ResolvedCall | CallReply:
         """Return the route and the account of a call, or an error reply."""
@@ -211,4 +224,4 @@
     """
     if reply.outcome == Outcome.NOT_LEADER:
         return False
-    return call.verb != Verb.READ or reply.outcome != Outcome.OK
+    return call.verb not in (Verb.READ, Verb.EXPLAIN) or reply.outcome != Outcome.OK
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -92,7 +92,9 @@
         self._health = UpstreamHealth()
         self._planning_loop = PlanningLoop(self, self._estimator)
         self._drainer = UpstreamDrainer(self, self._estimator)
-        self._upstream_registry = UpstreamRegistry(store, self.fleet, propose, now)
+        self._upstream_registry = UpstreamRegistry(
+            store, self.fleet, propose, now, wall_clock, self._finish_failed_jobs
+        )
         self.job_log = JobLog(self.log, store, self._estimator, metrics)
         self._session_by_id: dict[str, UpstreamSession] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -204,13 +206,44 @@
                 rack=report.rack,
                 service=report.service,
             )
-            session = self._session_by_id.get(report.upstream_id)
-            if session is not None:
-                session.replace_incarnation(upstream)
+            self._replace_predecessors(upstream)
         self._drainer.drain_if_leaving(upstream, report.remaining_ms / 1_000)
         self._upstream_registry.record(upstream.report)
         self.request_plan()
 
+    def _replace_predecessors(self, upstream: Upstream) -> None:
+        """End the runs of earlier upstreams at the address of a new one.
+
+        Its report is committed first, so that runs on an upstream that has
+        crashed count before their tasks are placed again.
+        """
+        session = self._session_by_id.get(upstream.report.upstream_id)
+        predecessors = self.fleet.predecessors(upstream.report)
+        if session is not None or predecessors:
+            self.spawn(self._commit_successor(upstream, predecessors))
+        if session is not None:
+            session.replace_incarnation(upstream)
+
+    async def _commit_successor(
+        self, upstream: Upstream, predecessors: list[Upstream]
+    ) -> None:
+        await self._upstream_registry.commit((upstream.report,))
+        for predecessor in predecessors:
+            predecessor.gone = True
+            self.record_event("crashed")
+            session = self.find_session(predecessor)
+            if session is not None:
+                await session.record_all_lost("another upstream started there")
+
+    def _finish_failed_jobs(self, job_ids: tuple[str, ...]) -> None:
+        """Log jobs with a task that crashes upstreams, and stop their runs."""
+        for job_id in job_ids:
+            record = self.store.job_by_id[job_id]
+            self.record_event("given_up")
+            self.log.warning("job given up", job=job_id, reason=record.failure)
+            self.job_log.log_end(record)
+            self.stop_job(job_id, str(record.state()))
+
     async def commit_departure(self, report: UpstreamReport) -> None:
         """Commit the departure of an upstream if it is leaving."""
         upstream = self.fleet.by_id.get(report.upstream_id)
@@ -229,7 +262,7 @@
         self.log.info("upstream left", upstream=upstream_id)
         session = self._session_by_id.get(upstream_id)
         if session is not None:
-            await session.record_all_lost("upstream left")
+            await session.record_all_lost("upstream left", TaskEnd.LEFT)
 
     def current_unit(self, task_run: TaskRun) -> Unit | None:
         """Return the unit of a run, or None if the run is obsolete.
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
@@ -85,7 +85,9 @@
             self._preempt(preemption)
         if not plan.placements:
             return
-        await self._term.propose(PlaceRuns(tuple(plan.placements)))
+        await self._term.propose(
+            PlaceRuns(tuple(plan.placements), self._term.wall_clock.now_ms())
+        )
         self._log_placements(plan.placements)
         for placement in plan.placements:
             self._start_run(placement)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CALL_METHOD",
+    "EXPLAIN_SUFFIX",
     "Call",
     "CallReply",
     "ConfigurationOrder",
@@ -30,6 +31,8 @@
 
 _SERVICE = "persimmonyard.Jobs"
 CALL_METHOD = f"/{_SERVICE}/Call"
+# End of the path of a call that asks why a job is in its state.
+EXPLAIN_SUFFIX = "/explain"
 
 
 class Verb(StrEnum):
@@ -39,6 +42,7 @@
     READ = "read"
     CANCEL = "cancel"
     COUNT = "count"
+    EXPLAIN = "explain"
 
 
 class Outcome(StrEnum):
@@ -119,7 +123,7 @@
     """The reply to a call; ``leader`` and ``members`` are gRPC addresses.
 
     ``clock_s`` is the clock of the leader, in seconds, in replies to probes.
-    ``content`` is the text of a configuration.
+    ``content`` is the text of a configuration, or an explanation in JSON.
     """
 
     outcome: Outcome
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -104,14 +104,18 @@
             self.stop(task_run, "upstream restarted")
         self._work_added.set()
 
-    async def record_all_lost(self, reason: str) -> None:
-        """Record all runs as lost.
+    async def record_all_lost(
+        self, reason: str, run_end: TaskEnd = TaskEnd.LOST
+    ) -> None:
+        """Record all runs as lost, or as ended because the upstream left.
 
         The upstream has ended, or all its leases have expired.
         """
+        if self.upstream.report.leaving:
+            run_end = TaskEnd.LEFT
         ends = []
         for task_run in self.task_run_by_key.values():
-            ends.append(self._run_end(task_run, TaskEnd.LOST))
+            ends.append(self._run_end(task_run, run_end))
         if ends:
             self._term.log.warning(
                 "runs lost",
--- a/packages/daemon/src/persimmonyard/daemon/jobs/upstream_registry.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/upstream_registry.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.jobs import (
     Command,
     Fleet,
@@ -27,7 +28,8 @@
 
     Only changes are committed: a new incarnation, a changed property, a
     departure and silence.  ``fleet`` holds the reports that this leader
-    received.
+    received.  ``on_failed`` gets the identifiers of jobs that fail because a
+    task of theirs crashes upstreams.
     """
 
     def __init__(
@@ -36,11 +38,15 @@
         fleet: Fleet,
         propose: Callable[[Command], Awaitable[Any]],
         now: Callable[[], float],
+        wall_clock: SteadyWallClock,
+        on_failed: Callable[[tuple[str, ...]], None],
     ):
         self._store = store
         self._fleet = fleet
         self._propose = propose
         self._now = now
+        self._wall_clock = wall_clock
+        self._on_failed = on_failed
         self._changed_ids: set[str] = set()
         self._changes_pending = asyncio.Event()
 
@@ -69,7 +75,17 @@
             == report.stable_fields()
         ):
             return
-        await self._propose(NoteUpstreams((report.stable_fields(),)))
+        await self.commit((report,))
+
+    async def commit(self, reports: tuple[UpstreamReport, ...]) -> None:
+        """Commit reports now."""
+        command = NoteUpstreams(
+            tuple(report.stable_fields() for report in reports),
+            self._wall_clock.now_ms(),
+        )
+        failed_ids = await self._propose(command)
+        if failed_ids:
+            self._on_failed(failed_ids)
 
     async def run(self) -> None:
         """Commit changes in batches, and remove silent upstreams.
@@ -92,10 +108,10 @@
         for upstream_id in self._changed_ids:
             upstream = self._fleet.by_id.get(upstream_id)
             if upstream is not None:
-                reports.append(upstream.report.stable_fields())
+                reports.append(upstream.report)
         self._changed_ids.clear()
         if reports:
-            await self._propose(NoteUpstreams(tuple(reports)))
+            await self.commit(tuple(reports))
 
     async def _remove_silent_upstreams(self) -> None:
         silent_ids = []
--- a/packages/jobs/src/persimmonyard/jobs/capacity.py
+++ b/packages/jobs/src/persimmonyard/jobs/capacity.py
@@ -21,13 +21,16 @@
 
     ``free`` is available now, and ``future_free`` once the runs that are
     stopping or about to end have ended.  A ``reserved`` upstream gets no
-    other units in this plan.
+    other units in this plan.  ``runs`` is the number of its runs, and
+    ``watched`` is true while one of them may crash it.
     """
 
     upstream: Upstream
     free: Resources
     future_free: Resources
     reserved: bool = False
+    runs: int = 0
+    watched: bool = False
 
 
 def charged_resources(step: Step) -> Resources:
--- a/packages/jobs/src/persimmonyard/jobs/commands.py
+++ b/packages/jobs/src/persimmonyard/jobs/commands.py
@@ -77,6 +77,7 @@
     """Assign units to upstreams; committed before any start is sent."""
 
     placements: tuple[Placement, ...]
+    at_ms: int = 0
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -103,9 +104,13 @@
 
 
 class NoteUpstreams(_Command, frozen=True, array_like=True, tag="ups"):
-    """Store reports of upstreams, so that the next leader can use them."""
+    """Store reports of upstreams, so that the next leader can use them.
+
+    The report of a new incarnation shows that the one before it has ended.
+    """
 
     reports: tuple[UpstreamReport, ...]
+    at_ms: int = 0
 
 
 class ForgetUpstreams(_Command, frozen=True, array_like=True, tag="fgt"):
--- /dev/null
+++ b/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
@@ -0,0 +1,254 @@
+"""The replicated record of upstreams' crashes under units."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple
+
+from persimmonyard.jobs.commands import Seat
+from persimmonyard.jobs.crashes import (
+    Crash,
+    CrashedRun,
+    CrashLog,
+    LostSeat,
+    UpstreamCrash,
+    describe_guilt,
+    find_suspects,
+    guilty,
+)
+from persimmonyard.jobs.fleet import UpstreamReport
+from persimmonyard.jobs.model import UnitKey
+
+if TYPE_CHECKING:
+    from persimmonyard.jobs.store import JobRecord, JobStore, Unit
+
+__all__ = ["CrashAccounting"]
+
+# At most this many lost seats and crashes are kept for a unit.
+_MAX_LOST_SEATS = 8
+_MAX_CRASHES = 16
+# A run of this length without a crash clears its unit, and a crash after a
+# run of this length does not add to earlier ones, in milliseconds.
+_CLEARING_RUN_MS = 10_000
+_LONG_RUN_MS = 30_000
+
+
+class _Incarnation(NamedTuple):
+    """An incarnation of an upstream that has ended, and its place."""
+
+    upstream_id: str
+    incarnation: int
+    zone: str
+    rack: str
+
+
+class CrashAccounting:
+    """Finds the runs that were on a crashed upstream, and blames units.
+
+    It is a part of the job store, whose commands call it, and like the store
+    it is deterministic.
+    """
+
+    def __init__(self, store: "JobStore", recent: Iterable[UpstreamCrash] = ()):
+        self._store = store
+        self._log = CrashLog(recent)
+        # The units with lost seats, by the address of the upstream.
+        self._lost_keys_by_address: dict[str, dict[UnitKey, None]] = {}
+
+    def recent_crashes(self) -> list[UpstreamCrash]:
+        """Return the recent crashes, for a snapshot."""
+        return self._log.recent
+
+    def index_lost_seats(self, key: UnitKey, unit: "Unit") -> None:
+        """Add the lost seats of a restored unit to the index."""
+        for lost in unit.lost_seats:
+            self._lost_keys_by_address.setdefault(lost.address, {})[key] = None
+
+    def record_lost(self, key: UnitKey, unit: "Unit", seat: Seat) -> None:
+        """Keep a lost seat until it is known why its upstream was silent."""
+        for crash in unit.crashes:
+            if crash.run == unit.run and crash.upstream_id == seat.upstream_id:
+                return
+        lost = LostSeat(
+            seat.upstream_id, seat.incarnation, seat.address, unit.run, unit.placed_ms
+        )
+        unit.lost_seats = [*unit.lost_seats[1 - _MAX_LOST_SEATS :], lost]
+        self.index_lost_seats(key, unit)
+
+    def clear_after_run(self, unit: "Unit", at_ms: int) -> None:
+        """Clear a unit that has run for long enough without a crash."""
+        if not unit.crashes or at_ms - unit.placed_ms < _CLEARING_RUN_MS:
+            return
+        if any(crash.run == unit.run for crash in unit.crashes):
+            return
+        if any(lost.run == unit.run for lost in unit.lost_seats):
+            return
+        unit.crashes = []
+
+    def crashed_before(self, report: UpstreamReport) -> list[_Incarnation]:
+        """Return the incarnations that a new one at the address replaces.
+
+        Those that had announced to leave are not returned.
+        """
+        ended_by_incarnation: dict[tuple[str, int], _Incarnation] = {}
+        for seats in self._store.seats_by_upstream.values():
+            for seat_record in seats.values():
+                seat = seat_record.seat
+                if seat.address != report.address:
+                    continue
+                self._add_ended(ended_by_incarnation, seat, report)
+        for key in self._lost_keys_by_address.get(report.address, ()):
+            record = self._store.job_by_id.get(key.job_id)
+            if record is None:
+                continue
+            for lost in record.units[key].lost_seats:
+                if lost.address == report.address:
+                    self._add_ended(ended_by_incarnation, lost, report)
+        for known in self._store.report_by_upstream.values():
+            if known.address == report.address:
+                self._add_ended(ended_by_incarnation, known, report)
+        return [
+            ended
+            for ended in ended_by_incarnation.values()
+            if not self._left(ended.upstream_id, ended.incarnation)
+        ]
+
+    def _add_ended(
+        self,
+        ended_by_incarnation: dict[tuple[str, int], _Incarnation],
+        earlier: Seat | LostSeat | UpstreamReport,
+        report: UpstreamReport,
+    ) -> None:
+        if earlier.incarnation >= report.incarnation:
+            return
+        ended_by_incarnation[(earlier.upstream_id, earlier.incarnation)] = _Incarnation(
+            earlier.upstream_id, earlier.incarnation, report.zone, report.rack
+        )
+
+    def _left(self, upstream_id: str, incarnation: int) -> bool:
+        known = self._store.report_by_upstream.get(upstream_id)
+        return known is not None and known.incarnation == incarnation and known.leaving
+
+    def record_incarnation(
+        self, report: UpstreamReport, crashed: list[_Incarnation], at_ms: int
+    ) -> list[str]:
+        """Record the crashes that the first report of an incarnation shows.
+
+        Returns the jobs that fail because of them.  A silent upstream that
+        reports again under its old incarnation was only cut off, so that no
+        crash can follow from its lost seats.
+        """
+        failed_ids: list[str] = []
+        for earlier in crashed:
+            failed_ids += self._record_crash(earlier, report.address, at_ms)
+        for key in self._lost_keys_by_address.pop(report.address, ()):
+            record = self._store.job_by_id.get(key.job_id)
+            if record is None:
+                continue
+            unit = record.units[key]
+            unit.lost_seats = [
+                lost for lost in unit.lost_seats if lost.address != report.address
+            ]
+        return failed_ids
+
+    def _record_crash(self, ended: _Incarnation, address: str, at_ms: int) -> list[str]:
+        runs = self._runs_on(ended, address)
+        crash = UpstreamCrash(
+            ended.upstream_id,
+            ended.incarnation,
+            ended.zone,
+            ended.rack,
+            at_ms,
+            tuple(crashed.key for crashed in runs),
+        )
+        self._log.add(crash)
+        suspects = find_suspects(runs) if runs else set()
+        for crashed in runs:
+            unit = self._store.job_by_id[crashed.key.job_id].units[crashed.key]
+            if at_ms - crashed.placed_ms >= _LONG_RUN_MS:
+                unit.crashes = []
+            suspect = crashed.key in suspects
+            unit.crashes = [
+                *unit.crashes[1 - _MAX_CRASHES :],
+                Crash(
+                    ended.upstream_id,
+                    ended.incarnation,
+                    address,
+                    crashed.run,
+                    suspect,
+                    suspect and len(suspects) == 1,
+                ),
+            ]
+        self._excuse_outage(crash)
+        failed_ids = []
+        for key in sorted(suspects):
+            if self._give_up_if_guilty(key, at_ms):
+                failed_ids.append(key.job_id)
+        return failed_ids
+
+    def _runs_on(self, ended: _Incarnation, address: str) -> list[CrashedRun]:
+        """Return the runs of active jobs that an ended incarnation had."""
+        run_by_key: dict[UnitKey, CrashedRun] = {}
+        for task_key, run in self._store.seats_by_upstream.get(ended.upstream_id, {}):
+            record = self._store.job_by_id[task_key.job_id]
+            step = record.job.steps[task_key.step]
+            key = task_key.unit_key(step.gang)
+            unit = record.units[key]
+            if record.is_active() and _has_seat(unit, ended):
+                run_by_key[key] = CrashedRun(
+                    key, run, unit.placed_ms, tuple(unit.crashes)
+                )
+        for key in self._lost_keys_by_address.get(address, ()):
+            lost_record = self._store.job_by_id.get(key.job_id)
+            if lost_record is None or not lost_record.is_active():
+                continue
+            unit = lost_record.units[key]
+            for lost in unit.lost_seats:
+                if _is_on(lost, ended):
+                    run_by_key[key] = CrashedRun(
+                        key, lost.run, lost.placed_ms, tuple(unit.crashes)
+                    )
+        return list(run_by_key.values())
+
+    def _excuse_outage(self, crash: UpstreamCrash) -> None:
+        """Remove the crashes that have a common cause other than a task.
+
+        A unit that was on half of the crashed upstreams may be that cause.
+        """
+        place_by_upstream = {
+            upstream_id: (report.zone, report.rack)
+            for upstream_id, report in self._store.report_by_upstream.items()
+        }
+        group = self._log.outage(crash, place_by_upstream)
+        count_by_key: dict[UnitKey, int] = {}
+        for member in group:
+            for key in member.keys:
+                count_by_key[key] = count_by_key.get(key, 0) + 1
+        ended = {(member.upstream_id, member.incarnation) for member in group}
+        for key, count in count_by_key.items():
+            record = self._store.job_by_id.get(key.job_id)
+            if record is None or 2 * count >= len(group):
+                continue
+            unit = record.units[key]
+            unit.crashes = [
+                crash
+                for crash in unit.crashes
+                if (crash.upstream_id, crash.incarnation) not in ended
+            ]
+
+    def _give_up_if_guilty(self, key: UnitKey, at_ms: int) -> bool:
+        record: JobRecord = self._store.job_by_id[key.job_id]
+        crashes = record.units[key].crashes
+        if not record.is_active() or not guilty(crashes):
+            return False
+        self._store.fail_job(record, describe_guilt(key, crashes), at_ms)
+        return True
+
+
+def _has_seat(unit: "Unit", ended: _Incarnation) -> bool:
+    return any(_is_on(seat_record.seat, ended) for seat_record in unit.seats)
+
+
+def _is_on(seat: Seat | LostSeat, ended: _Incarnation) -> bool:
+    return (seat.upstream_id, seat.incarnation) == (
+        ended.upstream_id,
+        ended.incarnation,
+    )
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -119,6 +119,7 @@
     def __init__(self, heartbeat_s: float):
         self._max_silence_s = heartbeat_s * _MISSED_HEARTBEATS
         self.by_id: dict[str, Upstream] = {}
+        self._incarnation_by_address: dict[str, int] = {}
 
     def observe(self, report: UpstreamReport, now: float) -> tuple[Upstream, bool]:
         """Record a report; return the upstream and whether it is new.
@@ -130,6 +131,7 @@
         known = self.by_id.get(report.upstream_id)
         if known is None or report.incarnation > known.report.incarnation:
             upstream = Upstream(report, now, report.clock_ms, now)
+            upstream.gone = self._has_successor(report)
             self.by_id[report.upstream_id] = upstream
             return upstream, True
         if report.incarnation < known.report.incarnation:
@@ -140,10 +142,30 @@
             leaving = report.leaving or known.report.leaving
             known.report = report._replace(leaving=leaving)
             known.last_seen_at = now
-            known.gone = False
+            known.gone = self._has_successor(report)
             known.record_clock(report.clock_ms, now)
         return known, False
 
+    def _has_successor(self, report: UpstreamReport) -> bool:
+        """Return whether another upstream has started at the address since.
+
+        A delayed report may arrive after that.
+        """
+        newest = self._incarnation_by_address.get(report.address, 0)
+        self._incarnation_by_address[report.address] = max(newest, report.incarnation)
+        return report.incarnation < newest
+
+    def predecessors(self, report: UpstreamReport) -> list[Upstream]:
+        """Return the upstreams that an incarnation replaces at its address."""
+        found = []
+        for upstream in self.by_id.values():
+            other = upstream.report
+            if other.address != report.address or upstream.gone:
+                continue
+            if other.incarnation < report.incarnation:
+                found.append(upstream)
+        return found
+
     def restore_stale(self, report: UpstreamReport, lease_ms: int, now: float) -> None:
         """Add an upstream on which a previous leader placed runs.
 
--- a/packages/jobs/src/persimmonyard/jobs/model.py
+++ b/packages/jobs/src/persimmonyard/jobs/model.py
@@ -27,8 +27,9 @@
     """How a run of a task ended.
 
     ``LOST`` means that the upstream ended or that the lease of the run
-    expired.  ``REJECTED`` means that the run did not start and cannot start
-    later.  The leader concludes these two; upstreams report the others.
+    expired, and ``LEFT`` that the upstream ended as it had announced.
+    ``REJECTED`` means that the run did not start and cannot start later.  The
+    leader concludes these three; upstreams report the others.
     """
 
     DONE = "done"
@@ -38,6 +39,7 @@
     BROKEN = "broken"
     ALONE = "alone"
     LOST = "lost"
+    LEFT = "left"
     REJECTED = "rejected"
 
 
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -15,6 +15,7 @@
     least_busy_fit,
 )
 from persimmonyard.jobs.commands import Placement, Seat
+from persimmonyard.jobs.crashes import on_probation
 from persimmonyard.jobs.fleet import Fleet
 from persimmonyard.jobs.guarantees import GUARANTEED_WAIT_S, GuaranteedJobs
 from persimmonyard.jobs.model import GANG_TASK, Step, UnitKey
@@ -44,6 +45,9 @@
 # together and must not delay the leader's heartbeats.
 _MAX_TASKS_PER_PLAN = 128
 _MS_PER_S = 1_000
+# At most one of this many upstreams is kept free of other work for a task that
+# may crash it, so that such tasks cannot take the capacity of all others.
+_UPSTREAMS_PER_WATCHED = 8
 
 
 class Preemption(NamedTuple):
@@ -106,7 +110,8 @@
         ready = self._queue.ready_units(wall_ms, guaranteed_jobs)
         if not ready:
             return plan
-        capacity_by_id = self._current_capacity(runs, now)
+        capacity_by_id = self._current_capacity(runs, now, wall_ms)
+        _limit_watched(capacity_by_id)
         self._half_free = half_free(capacity_by_id)
         self._task_counts_by_step = {}
         victim_selector = VictimSelector(
@@ -119,12 +124,15 @@
             shape = _shape(waiting)
             for key, unit in waiting.units:
                 shape_is_decisive = key.task != GANG_TASK and not unit.avoid
+                shape_is_decisive = shape_is_decisive and not unit.crashes
                 shape_is_decisive = shape_is_decisive and not waiting.step.per_upstream
                 if shape_is_decisive and shape in unplaceable_shapes:
                     continue
                 candidates = self._candidates(waiting, unit, capacity_by_id, now)
-                seats = self._assign_unit(waiting, key, candidates)
+                seats = self._assign_unit(waiting, key, unit, candidates)
                 if seats:
+                    if unit.starts_apart():
+                        _reserve_seats(seats, capacity_by_id)
                     plan.placements.append(Placement(key, unit.run + 1, tuple(seats)))
                     tasks_left -= len(seats)
                     continue
@@ -146,7 +154,10 @@
         return plan
 
     def _current_capacity(
-        self, runs: dict[tuple[UnitKey, int], RunProgress], now: float
+        self,
+        runs: dict[tuple[UnitKey, int], RunProgress],
+        now: float,
+        wall_ms: int,
     ) -> dict[str, UpstreamCapacity]:
         capacity_by_id = {}
         for upstream_id, upstream in self._fleet.by_id.items():
@@ -156,17 +167,23 @@
                 continue
             free = upstream.report.capacity
             future_free = free
-            for (task_key, run), _ in self._store.seats_by_upstream.get(
-                upstream_id, {}
-            ).items():
+            watched = False
+            seats = self._store.seats_by_upstream.get(upstream_id, {})
+            for task_key, run in seats:
                 record = self._store.job_by_id[task_key.job_id]
                 step = record.job.steps[task_key.step]
                 needs = charged_resources(step)
                 free = free.minus(needs)
-                progress = runs.get((task_key.unit_key(step.gang), run))
+                key = task_key.unit_key(step.gang)
+                unit = record.units[key]
+                if on_probation(unit.crashes, wall_ms - unit.placed_ms):
+                    watched = True
+                progress = runs.get((key, run))
                 if progress is None or not progress.ends_soon():
                     future_free = future_free.minus(needs)
-            capacity_by_id[upstream_id] = UpstreamCapacity(upstream, free, future_free)
+            capacity_by_id[upstream_id] = UpstreamCapacity(
+                upstream, free, future_free, runs=len(seats), watched=watched
+            )
         self._free_by_rack = {}
         for candidate in capacity_by_id.values():
             rack = candidate.upstream.report.rack
@@ -191,6 +208,8 @@
                 continue
             if label and label not in report.labels:
                 continue
+            if candidate.watched and not unit.starts_apart():
+                continue
             found.append(candidate)
         avoided = set(unit.avoid)
         if avoided:
@@ -200,10 +219,16 @@
                 if candidate.upstream.report.upstream_id not in avoided
             ]
             found = others or found
+        if unit.crashes:
+            found = _away_from_crashes(unit, found)
         return found
 
     def _assign_unit(
-        self, waiting: WaitingUnits, key: UnitKey, candidates: list[UpstreamCapacity]
+        self,
+        waiting: WaitingUnits,
+        key: UnitKey,
+        unit: Unit,
+        candidates: list[UpstreamCapacity],
     ) -> list[Seat]:
         """Return a seat for each task of the unit, or an empty list.
 
@@ -227,7 +252,7 @@
                 preferred_fits = True
             if not preferred and preferred_fits and waiting.waited_s < rack_wait_s:
                 return []
-            chosen = self._assign_tasks(key, step, tasks, group)
+            chosen = self._assign_tasks(key, step, tasks, group, unit.starts_apart())
             if chosen:
                 return chosen
         return []
@@ -263,8 +288,12 @@
         step: Step,
         tasks: list[int],
         candidates: list[UpstreamCapacity],
+        apart: bool,
     ) -> list[Seat]:
-        """Assign all tasks to candidates by best fit, or none of them."""
+        """Assign all tasks to candidates by best fit, or none of them.
+
+        With ``apart`` the tasks go where the fewest others run.
+        """
         needs = charged_resources(step)
         count_by_id = self._task_counts(key, step)
         assigned: list[tuple[UpstreamCapacity, Seat]] = []
@@ -284,6 +313,7 @@
                 # stay empty for work that needs a whole upstream or much of
                 # a rack.
                 rank = (
+                    candidate.runs if apart else 0,
                     candidate.free.accelerators,
                     free_by_rack[report.rack],
                     candidate.free.cores,
@@ -391,6 +421,39 @@
         return True
 
 
+def _limit_watched(capacity_by_id: dict[str, UpstreamCapacity]) -> None:
+    """Open the upstreams that are watched beyond the limit to other units."""
+    left = max(1, len(capacity_by_id) // _UPSTREAMS_PER_WATCHED)
+    for candidate in capacity_by_id.values():
+        candidate.watched = candidate.watched and left > 0
+        left -= candidate.watched
+
+
+def _away_from_crashes(
+    unit: Unit, candidates: list[UpstreamCapacity]
+) -> list[UpstreamCapacity]:
+    """Return the candidates that have not crashed under a unit, if any fits.
+
+    A unit that may be to blame also keeps away from others of its kind.
+    """
+    addresses = {crash.address for crash in unit.crashes}
+    elsewhere = [
+        candidate
+        for candidate in candidates
+        if candidate.upstream.report.address not in addresses
+    ]
+    unwatched = [candidate for candidate in elsewhere if not candidate.watched]
+    return unwatched or elsewhere or candidates
+
+
+def _reserve_seats(
+    seats: list[Seat], capacity_by_id: dict[str, UpstreamCapacity]
+) -> None:
+    """Keep other units off the upstreams of a unit in this plan."""
+    for seat in seats:
+        capacity_by_id[seat.upstream_id].reserved = True
+
+
 def _shape(waiting: WaitingUnits) -> tuple:
     """Return the properties that decide on which upstreams a task fits.
 
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -22,6 +22,8 @@
     decode_command,
 )
 from persimmonyard.jobs.configuration import JobConfiguration, Route
+from persimmonyard.jobs.crash_accounting import CrashAccounting
+from persimmonyard.jobs.crashes import Crash, LostSeat, UpstreamCrash, may_be_to_blame
 from persimmonyard.jobs.fleet import UpstreamReport
 from persimmonyard.jobs.model import (
     GANG_TASK,
@@ -58,8 +60,10 @@
 class Unit(msgspec.Struct):
     """State of a unit.
 
-    ``run`` is the number of its last placement, and ``avoid`` lists the last 8
-    upstreams on which a run of it failed.
+    ``run`` is the number of its last placement, made at ``placed_ms``, and
+    ``avoid`` lists the last 8 upstreams on which a run of it failed.
+    ``crashes`` are those of upstreams under it, and ``lost_seats`` the last
+    seats on silent upstreams that may still turn out to have crashed.
     """
 
     status: UnitStatus = UnitStatus.WAITING
@@ -68,6 +72,13 @@
     checkpoint: str = ""
     seats: list[SeatRecord] = []
     avoid: list[str] = []
+    placed_ms: int = 0
+    crashes: list[Crash] = []
+    lost_seats: list[LostSeat] = []
+
+    def starts_apart(self) -> bool:
+        """Return whether the unit may crash the upstream that starts it."""
+        return bool(self.crashes) and may_be_to_blame(self.crashes)
 
 
 class JobRecord(msgspec.Struct):
@@ -76,7 +87,7 @@
     ``route`` is the route at acceptance, and ``begun`` is true once a unit
     was placed.  ``open_by_step`` is the number of units that are not done, by
     "occurrence.step".  ``ended_ms`` is when the job completed, failed or was
-    cancelled, or 0 before.
+    cancelled, or 0 before.  ``failure`` tells callers why it failed.
     """
 
     job: Job
@@ -87,6 +98,7 @@
     failed: bool = False
     begun: bool = False
     ended_ms: int = 0
+    failure: str = ""
 
     def state(self) -> JobState:
         """Return the state that callers see."""
@@ -118,6 +130,7 @@
     zones_out: list[str]
     jobs: list[JobRecord]
     upstreams: list[UpstreamReport] = []
+    crashes: list[UpstreamCrash] = []
 
 
 class JobStore:
@@ -138,9 +151,10 @@
         self._route_by_name: dict[str, Route] = {}
         self._account_by_key: dict[str, str] = {}
         self._waiting: dict[UnitKey, Unit] = {}
+        self._crash_accounting = CrashAccounting(self)
 
-    def apply(self, index: int, entry: bytes) -> bool:
-        """Apply a log entry; return whether it changed anything."""
+    def apply(self, index: int, entry: bytes) -> bool | tuple[str, ...]:
+        """Apply a log entry; return the result of its command."""
         return self.execute(decode_command(entry))
 
     def snapshot(self) -> bytes:
@@ -150,6 +164,7 @@
             sorted(self.zones_out),
             list(self.job_by_id.values()),
             list(self.report_by_upstream.values()),
+            self._crash_accounting.recent_crashes(),
         )
         return msgspec.msgpack.encode(snapshot_data)
 
@@ -164,6 +179,7 @@
         }
         self.seats_by_upstream = {}
         self._waiting = {}
+        self._crash_accounting = CrashAccounting(self, snapshot_data.crashes)
         self._index_configuration()
         for record in snapshot_data.jobs:
             self._index_job(record)
@@ -175,9 +191,15 @@
             for seat_record in unit.seats:
                 if seat_record.end is None:
                     self._index_seat(key, unit.run, seat_record)
+            if unit.lost_seats and record.is_active():
+                self._crash_accounting.index_lost_seats(key, unit)
+
+    def execute(self, command: Command) -> bool | tuple[str, ...]:
+        """Execute a command; return whether it changed anything.
 
-    def execute(self, command: Command) -> bool:
-        """Execute a command; return whether it changed anything."""
+        ``NoteUpstreams`` returns the identifiers of the jobs that it made
+        fail, because a task of theirs crashes upstreams.
+        """
         match command:
             case PutConfiguration(configuration):
                 return self._put_configuration(configuration)
@@ -191,9 +213,9 @@
                 return self._submit(job)
             case CancelJob(job_id, at_ms):
                 return self._cancel(job_id, at_ms)
-            case PlaceRuns(placements):
+            case PlaceRuns(placements, at_ms):
                 for placement in placements:
-                    self._place(placement)
+                    self._place(placement, at_ms)
                 return True
             case EndRuns(ends, at_ms):
                 for end in ends:
@@ -203,10 +225,11 @@
                 for job_id in job_ids:
                     self.job_by_id.pop(job_id, None)
                 return True
-            case NoteUpstreams(reports):
+            case NoteUpstreams(reports, at_ms):
+                failed_ids: list[str] = []
                 for report in reports:
-                    self._note_upstream(report)
-                return True
+                    failed_ids += self._note_upstream(report, at_ms)
+                return tuple(failed_ids)
             case ForgetUpstreams(upstream_ids):
                 for upstream_id in upstream_ids:
                     self.report_by_upstream.pop(upstream_id, None)
@@ -231,15 +254,35 @@
             for key in account.keys:
                 self._account_by_key[key] = account.name
 
-    def _note_upstream(self, report: UpstreamReport) -> None:
+    def _note_upstream(self, report: UpstreamReport, at_ms: int) -> list[str]:
+        """Store a report; return the jobs that fail because of a crash."""
         known = self.report_by_upstream.get(report.upstream_id)
         if known is not None and known.incarnation > report.incarnation:
-            return
+            return []
         if known is not None and known.incarnation == report.incarnation:
             # A departure is final for an incarnation; an outdated report must
             # not cancel it.
             report = report._replace(leaving=report.leaving or known.leaving)
+        if known is not None and known.incarnation == report.incarnation:
+            self.report_by_upstream[report.upstream_id] = report
+            return []
+        if self._has_successor(report):
+            return []
+        crashed = self._crash_accounting.crashed_before(report)
+        for upstream_id, other in list(self.report_by_upstream.items()):
+            if other.address == report.address:
+                del self.report_by_upstream[upstream_id]
         self.report_by_upstream[report.upstream_id] = report
+        return self._crash_accounting.record_incarnation(report, crashed, at_ms)
+
+    def _has_successor(self, report: UpstreamReport) -> bool:
+        """Return whether a later upstream has reported from the address."""
+        for other in self.report_by_upstream.values():
+            if other.address != report.address:
+                continue
+            if other.incarnation > report.incarnation:
+                return True
+        return False
 
     def _submit(self, job: Job) -> bool:
         if job.job_id in self.job_by_id:
@@ -275,7 +318,7 @@
         for key in record.units:
             self._waiting.pop(key, None)
 
-    def _place(self, placement: Placement) -> None:
+    def _place(self, placement: Placement, at_ms: int) -> None:
         key = placement.key
         record = self.job_by_id.get(key.job_id)
         unit = self._waiting.get(key)
@@ -285,6 +328,7 @@
         record.begun = True
         unit.status = UnitStatus.PLACED
         unit.run = placement.run
+        unit.placed_ms = at_ms
         unit.seats = [SeatRecord(seat) for seat in placement.seats]
         for seat_record in unit.seats:
             self._index_seat(key, unit.run, seat_record)
@@ -318,6 +362,8 @@
             del self.seats_by_upstream[seat_record.seat.upstream_id]
         if end.checkpoint:
             unit.checkpoint = end.checkpoint
+        if end.end == TaskEnd.LOST and record.is_active():
+            self._crash_accounting.record_lost(end.key, unit, seat_record.seat)
 
     def _finish_run(
         self, record: JobRecord, key: UnitKey, unit: Unit, at_ms: int
@@ -332,6 +378,7 @@
                     unit.avoid = [*unit.avoid[-7:], seat_record.seat.upstream_id]
         unit.seats = []
         unit.status = UnitStatus.WAITING
+        self._crash_accounting.clear_after_run(unit, at_ms)
         if TaskEnd.DONE in ends and not step.long_running:
             unit.status = UnitStatus.DONE
             self._complete_unit(record, key, at_ms)
@@ -339,11 +386,17 @@
         if not record.is_active():
             return
         if unit.failures >= self.max_attempts(record) and not step.long_running:
-            record.failed = True
-            self._finish_job(record, at_ms)
+            name = key.task_key(key.task).log_label()
+            self.fail_job(record, f"task {name} failed {unit.failures} times", at_ms)
             return
         self._waiting[key] = unit
 
+    def fail_job(self, record: JobRecord, failure: str, at_ms: int) -> None:
+        """End an active job as failed, for the reason in ``failure``."""
+        record.failed = True
+        record.failure = failure
+        self._finish_job(record, at_ms)
+
     def _complete_unit(self, record: JobRecord, key: UnitKey, at_ms: int) -> None:
         step_name = f"{key.occurrence}.{key.step}"
         record.open_by_step[step_name] -= 1
--- a/test/daemon/jobs/crashing_upstreams.py
+++ b/test/daemon/jobs/crashing_upstreams.py
@@ -7,11 +7,14 @@
     OrderReply,
     OrderResult,
 )
+from persimmonyard.jobs import TaskEnd
 from test.daemon.jobs.fakes import FakeUpstreamClient, clock_ms
 from test.jobs.fixtures import report
 
 # How long a crashed upstream is down, in seconds.
 DOWN_S = 0.05
+# How long a task runs at least, in seconds.
+RUN_S = 0.1
 
 
 class CrashingUpstreamClient(FakeUpstreamClient):
@@ -31,7 +34,7 @@
         self.down = set()
         self.deadly_starts = []
         self.lost_runs = []
-        self.tasks_ = set()
+        self._boots = set()
 
     def boot(self, name, incarnation=1):
         """Start an upstream and report it."""
@@ -55,9 +58,9 @@
         self.lost_runs += upstream.running.items()
         self.down.add(address)
         upstream.running.clear()
-        task = asyncio.create_task(self._boot_later(address))
-        self.tasks_.add(task)
-        task.add_done_callback(self.tasks_.discard)
+        boot = asyncio.create_task(self._boot_later(address))
+        self._boots.add(boot)
+        boot.add_done_callback(self._boots.discard)
 
     async def _boot_later(self, address):
         await asyncio.sleep(DOWN_S)
@@ -65,6 +68,17 @@
         self.down.discard(address)
         self.boot(address.removesuffix(":80"), incarnation)
 
+    async def finish_tasks(self):
+        """End tasks as done some time after they have started."""
+        while True:
+            running = []
+            for upstream in self.by_address.values():
+                running += [(upstream, *item) for item in upstream.running.items()]
+            await asyncio.sleep(RUN_S)
+            for upstream, task_key, run in running:
+                if upstream.running.get(task_key) == run:
+                    upstream.end(task_key, TaskEnd.DONE)
+
     def _reach(self, target):
         if target.address in self.down:
             raise NoAnswerError("refused")
--- a/test/daemon/jobs/test_crashing_tasks.py
+++ b/test/daemon/jobs/test_crashing_tasks.py
@@ -1,8 +1,14 @@
 """Tests of a leader whose upstreams crash under a task."""
 
+import asyncio
 import unittest
 
-from persimmonyard.jobs import JobState, SubmitJob
+import msgspec
+
+from persimmonyard.daemon.jobs.job_service import JobService
+from persimmonyard.daemon.jobs.metrics import JobMetrics
+from persimmonyard.daemon.jobs.rpc import JobCall, Verb
+from persimmonyard.jobs import JobState, JobStore, SubmitJob
 from test.daemon.jobs.crashing_upstreams import CrashingUpstreamClient
 from test.daemon.jobs.fakes import InMemoryLeader, wait_until
 from test.jobs.fixtures import job, step
@@ -46,3 +52,90 @@
         record = await self.submit(step(), job_id=DEADLY_ID)
         await self.wait_for_failure(record)
         self.assertLessEqual(len(self.upstreams.deadly_starts), MAX_STARTS)
+
+    async def test_restart_under_the_same_identifier_counts(self):
+        """Guards against crashes that count only under a new identifier."""
+        await self.start_leader(keeps_id=True)
+        record = await self.submit(step(), job_id=DEADLY_ID)
+        await self.wait_for_failure(record)
+        self.assertLessEqual(len(self.upstreams.deadly_starts), MAX_STARTS)
+
+    async def test_count_survives_leader_changes(self):
+        """Guards against three more starts under each new leader."""
+        await self.start_leader()
+        await self.submit(step(), job_id=DEADLY_ID)
+        for fence in (2, 3, 4):
+            starts = len(self.upstreams.deadly_starts)
+            await wait_until(
+                lambda starts=starts: (
+                    len(self.upstreams.deadly_starts) > starts
+                    or self.leader.store.job_by_id[DEADLY_ID].failed
+                )
+            )
+            self.leader.term.close()
+            restored = JobStore()
+            restored.restore(self.leader.store.snapshot())
+            self.leader = InMemoryLeader(self.upstreams, restored, fence)
+            self.leader.term.start()
+        await self.wait_for_failure(self.leader.store.job_by_id[DEADLY_ID])
+        self.assertLessEqual(len(self.upstreams.deadly_starts), MAX_STARTS)
+
+    async def test_neighbours_complete_and_few_of_them_run_again(self):
+        """Guards against innocent tasks that a crashing one takes along."""
+        await self.start_leader()
+        self.leader.term.spawn(self.upstreams.finish_tasks())
+        for number in range(4):
+            await self.submit(step(7), job_id=f"00000000000000c{number}")
+        record = await self.submit(step(), job_id=DEADLY_ID)
+        await self.wait_for_failure(record)
+        innocent = self.leader.store.job_by_id
+        await wait_until(
+            lambda: all(
+                other.state() == JobState.COMPLETED
+                for job_id, other in innocent.items()
+                if job_id != DEADLY_ID
+            )
+        )
+        reruns = [key for key, _ in self.upstreams.lost_runs if not is_deadly(key)]
+        # Only the first start may be beside others.
+        self.assertLessEqual(len(reruns), 7)
+
+    async def test_gang_that_crashes_upstreams_is_given_up(self):
+        """Guards against a gang that takes its upstreams with it each time."""
+        await self.start_leader()
+        record = await self.submit(step(3, gang=True), job_id=DEADLY_ID)
+        await wait_until(
+            lambda: (
+                record.state() == JobState.FAILED
+                or len({run for _, run in self.upstreams.deadly_starts}) > MAX_STARTS
+            )
+        )
+        self.assertEqual(JobState.FAILED, record.state())
+
+    async def test_upstream_that_crashes_by_itself_fails_no_job(self):
+        """Guards against jobs that fail because an upstream keeps crashing."""
+        await self.start_leader(upstreams=3)
+        self.leader.term.spawn(self.upstreams.finish_tasks())
+        records = []
+        for number in range(6):
+            job_id = f"00000000000000c{number}"
+            records.append(await self.submit(step(4), job_id=job_id))
+            self.upstreams.crash("u0:80")
+            await asyncio.sleep(0.1)
+        await wait_until(
+            lambda: all(record.state() == JobState.COMPLETED for record in records)
+        )
+
+    async def test_caller_sees_why_the_job_failed(self):
+        """Guards against a failed job without a reason."""
+        await self.start_leader()
+        record = await self.submit(step(), job_id=DEADLY_ID)
+        await self.wait_for_failure(record)
+        service = JobService(self.leader.store, lambda: self.leader.term, JobMetrics())
+        path = f"/normal/{DEADLY_ID}/explain"
+        call = JobCall(Verb.EXPLAIN, "h.example", path, "key-1")
+        reply = await service.answer(call)
+        explanation = msgspec.json.decode(reply.content)
+        self.assertEqual("failed", explanation["state"])
+        self.assertIn("crashed under task 0.0.0", explanation["reason"])
+        self.assertEqual(3, len(explanation["tasks"][0]["crashed_upstreams"]))
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -146,7 +146,7 @@
         self.assertEqual(JobState.RUNNING, record.state())
 
     async def test_lost_runs_are_named_in_the_log(self):
-        """Guards against a log that tells how many runs were lost, not which."""
+        """Guards against a log that only has the number of lost runs."""
         self.leader.report("u1")
         await self.submit(step())
         await self.wait_for_start()
--- a/test/jobs/fixtures.py
+++ b/test/jobs/fixtures.py
@@ -2,6 +2,7 @@
 
 from persimmonyard.jobs import (
     AccountSpec,
+    EndRuns,
     Fleet,
     Job,
     JobConfiguration,
@@ -10,10 +11,12 @@
     Planner,
     PutConfiguration,
     Route,
+    RunEnd,
     RunTimeEstimator,
     ServiceSpec,
     Step,
     SubmitJob,
+    TaskEnd,
     UpstreamReport,
 )
 from persimmonyard.model import Resources
@@ -89,5 +92,12 @@
     def place(self, after_ms=0):
         """Make a plan, apply its placements to the store and return it."""
         plan = self.plan(after_ms)
-        self.store.execute(PlaceRuns(tuple(plan.placements)))
+        self.store.execute(PlaceRuns(tuple(plan.placements), WALL_MS + after_ms))
         return plan
+
+    def end_run(self, key, unit, end=TaskEnd.LOST):
+        """End all tasks of the last run of a unit."""
+        ends = []
+        for seat_record in unit.seats:
+            ends.append(RunEnd(key, seat_record.seat.task, unit.run, end))
+        self.store.execute(EndRuns(tuple(ends), WALL_MS))
--- /dev/null
+++ b/test/jobs/test_crash_placement.py
@@ -0,0 +1,74 @@
+"""Tests of the placement of tasks that may crash their upstream."""
+
+import unittest
+
+from persimmonyard.jobs import NoteUpstreams
+from test.jobs.fixtures import WALL_MS, Cluster, report, step
+
+SUSPECT_ID = "00000000000000de"
+OTHER_ID = "00000000000000c1"
+
+
+class CrashPlacementTests(unittest.TestCase):
+    def cluster_with_suspects(self, upstreams, tasks):
+        """Return a cluster with a job whose upstream has just crashed."""
+        cluster = Cluster()
+        cluster.add("x")
+        cluster.submit(step(tasks), job_id=SUSPECT_ID)
+        cluster.place()
+        del cluster.fleet.by_id["x"]
+        for number in range(upstreams):
+            cluster.add(f"u{number}")
+        return cluster
+
+    def crash(self, cluster):
+        """Crash upstream x, whose address a leaving upstream takes over."""
+        restarted = report("y", incarnation=2, leaving=True)
+        restarted = restarted._replace(address="x:80")
+        cluster.store.execute(NoteUpstreams((restarted,), WALL_MS))
+        for key, unit in cluster.store.job_by_id[SUSPECT_ID].units.items():
+            cluster.end_run(key, unit)
+
+    def test_suspects_start_on_upstreams_of_their_own(self):
+        """Guards against two suspects on one upstream.
+
+        If it crashes, nobody knows which of them is to blame.
+        """
+        cluster = self.cluster_with_suspects(8, 3)
+        self.crash(cluster)
+        plan = cluster.place()
+        used = {placement.seats[0].upstream_id for placement in plan.placements}
+        self.assertEqual(3, len(used))
+
+    def test_no_other_task_joins_a_suspect(self):
+        """Guards against neighbours that a suspect takes along."""
+        cluster = self.cluster_with_suspects(3, 1)
+        self.crash(cluster)
+        suspect = cluster.place().placements[0].seats[0].upstream_id
+        cluster.submit(step(24), job_id=OTHER_ID)
+        used = set()
+        for placement in cluster.place(1_000).placements:
+            used.add(placement.seats[0].upstream_id)
+        self.assertEqual({"u0", "u1", "u2"} - {suspect}, used)
+        used.clear()
+        # The suspect has run for a while.
+        for placement in cluster.place(4_000).placements:
+            used.add(placement.seats[0].upstream_id)
+        self.assertEqual({suspect}, used)
+
+    def test_suspects_take_a_bounded_share_of_the_upstreams(self):
+        """Guards against suspects that keep all other work waiting."""
+        cluster = self.cluster_with_suspects(8, 8)
+        self.crash(cluster)
+        cluster.place()
+        cluster.submit(step(64), job_id=OTHER_ID)
+        placed = cluster.place(1_000).placements
+        self.assertEqual(7 * 7, len(placed))
+
+    def test_suspect_waits_for_no_empty_upstream(self):
+        """Guards against a suspect that waits while there is room."""
+        cluster = self.cluster_with_suspects(2, 1)
+        cluster.submit(step(14), job_id=OTHER_ID)
+        cluster.place()
+        self.crash(cluster)
+        self.assertEqual(1, len(cluster.place().placements))
--- /dev/null
+++ b/test/jobs/test_crashes.py
@@ -0,0 +1,322 @@
+"""Tests of the record of upstreams' crashes under tasks."""
+
+import unittest
+
+from persimmonyard.jobs import (
+    GANG_TASK,
+    CancelJob,
+    EndRuns,
+    ForgetUpstreams,
+    JobState,
+    JobStore,
+    NoteUpstreams,
+    Placement,
+    PlaceRuns,
+    PutConfiguration,
+    RunEnd,
+    Seat,
+    SubmitJob,
+    TaskEnd,
+    UnitKey,
+)
+from test.jobs.fixtures import JOB_ID, configuration, job, report, step
+
+OTHER_ID = "00000000000000b2"
+NOW_MS = 1_800_000_000_000
+
+
+class CrashTests(unittest.TestCase):
+    """Each upstream "a" is at an address; "a" crashed is followed by "a'"."""
+
+    def setUp(self):
+        self.store = JobStore()
+        self.store.execute(PutConfiguration(configuration()))
+        self.now_ms = NOW_MS
+        self.incarnation_by_name = {}
+
+    def submit(self, *steps, job_id=JOB_ID):
+        self.store.execute(SubmitJob(job(*steps, job_id=job_id)))
+        return self.store.job_by_id[job_id]
+
+    def report(self, name, zone="z1", **fields):
+        """Commit a report of the current incarnation at an address."""
+        incarnation = self.incarnation_by_name.setdefault(name, 1)
+        committed = report(f"{name}-{incarnation}", zone=zone, **fields)
+        return self.store.execute(
+            NoteUpstreams(
+                (committed._replace(address=f"{name}:80", incarnation=incarnation),),
+                self.now_ms,
+            )
+        )
+
+    def place(self, *names, job_id=JOB_ID, task=0):
+        """Place a run of a task, or of a gang, on the named upstreams."""
+        gang = len(names) > 1
+        key = UnitKey(job_id, 0, 0, GANG_TASK if gang else task)
+        run = self.store.job_by_id[job_id].units[key].run + 1
+        seats = []
+        for number, name in enumerate(names):
+            incarnation = self.incarnation_by_name.setdefault(name, 1)
+            seats.append(
+                Seat(
+                    number if gang else task,
+                    f"{name}-{incarnation}",
+                    incarnation,
+                    f"{name}:80",
+                    "z1",
+                )
+            )
+        self.store.execute(PlaceRuns((Placement(key, run, tuple(seats)),), self.now_ms))
+
+    def end(self, end=TaskEnd.LOST, job_id=JOB_ID, task=0):
+        """End the run of a task, with all members of a gang."""
+        record = self.store.job_by_id[job_id]
+        for key, unit in record.units.items():
+            if key.task not in (task, GANG_TASK):
+                continue
+            ends = []
+            for seat_record in unit.seats:
+                ends.append(RunEnd(key, seat_record.seat.task, unit.run, end))
+            self.store.execute(EndRuns(tuple(ends), self.now_ms))
+
+    def restart(self, name, **fields):
+        self.incarnation_by_name[name] = self.incarnation_by_name.get(name, 1) + 1
+        return self.report(name, **fields)
+
+    def crash(self, *names, **end_fields):
+        """Crash upstreams under a task that was just placed there."""
+        for name in names:
+            self.restart(name)
+        self.end(**end_fields)
+        self.now_ms += 4_000
+
+    def crashes(self, job_id=JOB_ID, task=0):
+        return self.store.job_by_id[job_id].units[UnitKey(job_id, 0, 0, task)].crashes
+
+    def restore(self):
+        """Continue with a store that was restored from a snapshot."""
+        restored = JobStore()
+        restored.restore(self.store.snapshot())
+        self.store = restored
+
+    def test_crashes_survive_a_snapshot(self):
+        """Guards against a count that starts anew with each leader."""
+        self.submit(step())
+        for name in ("a", "b"):
+            self.place(name)
+            self.crash(name)
+            self.restore()
+        self.place("c")
+        self.assertEqual((JOB_ID,), self.restart("c"))
+        record = self.store.job_by_id[JOB_ID]
+        self.assertEqual(JobState.FAILED, record.state())
+        self.assertIn("a-1, b-1, c-1", record.failure)
+        self.end()
+        self.assertEqual([], list(self.store.waiting()))
+        self.assertEqual({}, self.store.seats_by_upstream)
+
+    def test_neighbours_of_a_crashing_task_are_not_given_up(self):
+        """Guards against jobs that fail because another one crashes upstreams.
+
+        The neighbours run again and again on an upstream that crashes.
+        """
+        self.submit(step())
+        self.submit(step(2), job_id=OTHER_ID)
+        for name in "abc":
+            for task in (0, 1):
+                self.place(name, job_id=OTHER_ID, task=task)
+            self.now_ms += 3_000
+            self.place(name)
+            self.restart(name)
+            for task in (0, 1):
+                self.end(job_id=OTHER_ID, task=task)
+            self.end()
+        self.assertEqual(JobState.FAILED, self.store.job_by_id[JOB_ID].state())
+        self.assertEqual(JobState.RUNNING, self.store.job_by_id[OTHER_ID].state())
+
+    def test_suspects_that_crash_together_are_given_up_before_the_limit(self):
+        """Guards against a sixth start when suspects are never apart."""
+        self.submit(step(2))
+        starts = 0
+        record = self.store.job_by_id[JOB_ID]
+        while record.is_active():
+            name = f"u{starts}"
+            starts += 1
+            for task in (0, 1):
+                self.place(name, task=task)
+            self.restart(name)
+            for task in (0, 1):
+                self.end(task=task)
+        self.assertLessEqual(starts, 5)
+
+    def test_task_that_crashes_late_is_given_up(self):
+        """Guards against crashes that are all put down to the newest task."""
+        self.submit(step())
+        self.submit(step(9), job_id=OTHER_ID)
+        starts = 0
+        record = self.store.job_by_id[JOB_ID]
+        while record.is_active():
+            name = f"u{starts}"
+            self.place(name)
+            self.now_ms += 5_000
+            if (
+                not self.store.job_by_id[JOB_ID]
+                .units[UnitKey(JOB_ID, 0, 0, 0)]
+                .starts_apart()
+            ):
+                self.place(name, job_id=OTHER_ID, task=starts)
+            starts += 1
+            self.crash(name)
+        self.assertLessEqual(starts, 5)
+        self.assertTrue(self.store.job_by_id[OTHER_ID].is_active())
+
+    def test_cut_upstream_counts_as_no_crash(self):
+        """Guards against jobs that fail because upstreams were cut off."""
+        self.submit(step())
+        for name in "abcde":
+            self.report(name)
+            self.place(name)
+            self.store.execute(ForgetUpstreams((f"{name}-1",)))
+            self.end()
+            self.report(name)
+            self.now_ms += 12_000
+        # A restart much later says nothing about the run that was cut off.
+        self.restart("a")
+        self.assertEqual([], self.crashes())
+        self.assertTrue(self.store.job_by_id[JOB_ID].is_active())
+
+    def test_crash_that_shows_after_the_lease_counts(self):
+        """Guards against crashes that count only if the restart is fast."""
+        self.submit(step())
+        self.report("a")
+        self.place("a")
+        self.store.execute(ForgetUpstreams(("a-1",)))
+        self.end()
+        self.restore()
+        self.restart("a")
+        self.assertEqual(["a-1"], [crash.upstream_id for crash in self.crashes()])
+
+    def test_lapsed_lease_counts_as_no_crash(self):
+        """Guards against jobs that fail because leases lapsed."""
+        self.submit(step())
+        for name in "abc":
+            self.report(name)
+            self.place(name)
+            self.end(TaskEnd.LAPSED)
+            self.restart(name)
+        self.assertEqual([], self.crashes())
+
+    def test_announced_leave_counts_as_no_crash(self):
+        """Guards against jobs that fail because upstreams were taken away."""
+        self.submit(step())
+        for name in "abc":
+            self.report(name)
+            self.place(name)
+            self.report(name, leaving=True)
+            self.end(TaskEnd.LEFT)
+            self.restart(name)
+            self.place(f"{name}2")
+            self.report(f"{name}2", leaving=True)
+            self.restart(f"{name}2")
+            self.end()
+        self.assertEqual([], self.crashes())
+
+    def test_stopped_run_counts_as_no_crash(self):
+        """Guards against a crash that is put down to a task that had ended."""
+        self.submit(step())
+        self.report("a")
+        self.place("a")
+        self.end(TaskEnd.STOPPED)
+        self.restart("a")
+        self.assertEqual([], self.crashes())
+
+    def test_zone_without_power_counts_as_no_crash(self):
+        """Guards against jobs that fail because zones lost their power."""
+        self.submit(step())
+        for zone in ("z1", "z2", "z3", "z4"):
+            names = [f"{zone}{number}" for number in range(4)]
+            for name in names:
+                self.report(name, zone=zone, rack=name)
+            self.place(names[0])
+            for name in names:
+                self.restart(name, zone=zone, rack=name)
+                self.now_ms += 200
+            self.end()
+        self.assertEqual([], self.crashes())
+        self.assertTrue(self.store.job_by_id[JOB_ID].is_active())
+
+    def test_gang_that_crashes_its_rack_is_given_up(self):
+        """Guards against a gang that is excused as an outage of its rack.
+
+        Its crashes count once for each run.
+        """
+        self.submit(step(3, gang=True))
+        for run in range(3):
+            names = [f"{run}{member}" for member in range(3)]
+            for name in names:
+                self.report(name, zone=f"z{run}", rack=f"r{run}")
+            self.place(*names)
+            self.assertTrue(self.store.job_by_id[JOB_ID].is_active())
+            for name in names:
+                self.restart(name, zone=f"z{run}", rack=f"r{run}")
+            self.end()
+        self.assertEqual(JobState.FAILED, self.store.job_by_id[JOB_ID].state())
+
+    def test_job_that_is_cancelled_meanwhile_stays_cancelled(self):
+        """Guards against a cancelled job that is shown as failed."""
+        record = self.submit(step())
+        for name in "ab":
+            self.place(name)
+            self.crash(name)
+        self.place("c")
+        self.store.execute(CancelJob(JOB_ID, self.now_ms))
+        self.assertEqual((), self.restart("c"))
+        self.end()
+        self.assertEqual(JobState.CANCELLED, record.state())
+
+    def test_lasting_task_is_not_given_up_for_crashes_hours_apart(self):
+        """Guards against a lasting job that fails after enough crashes."""
+        self.submit(step(long_running=True))
+        for number in range(6):
+            self.place(f"u{number}")
+            self.now_ms += 3_600_000
+            self.crash(f"u{number}")
+        self.assertTrue(self.store.job_by_id[JOB_ID].is_active())
+
+    def test_lasting_task_that_crashes_upstreams_is_given_up(self):
+        """Guards against a lasting task that is started without end."""
+        record = self.submit(step(long_running=True))
+        for name in "abc":
+            self.place(name)
+            self.crash(name)
+        self.assertEqual(JobState.FAILED, record.state())
+
+    def test_upstream_that_crashes_by_itself_ends_no_job(self):
+        """Guards against a job that fails because of one bad upstream."""
+        self.submit(step())
+        for _ in range(3):
+            self.place("a")
+            self.crash("a")
+        self.assertTrue(self.store.job_by_id[JOB_ID].is_active())
+
+    def test_run_without_a_crash_clears_its_task(self):
+        """Guards against a task that is suspected for good."""
+        self.submit(step())
+        self.place("a")
+        self.crash("a")
+        self.place("b")
+        self.now_ms += 11_000
+        self.end(TaskEnd.STOPPED)
+        self.assertEqual([], self.crashes())
+
+    def test_delayed_report_replaces_no_successor(self):
+        """Guards against a report that arrives after its sender crashed."""
+        self.submit(step())
+        self.report("a")
+        self.restart("a")
+        self.place("a")
+        self.incarnation_by_name["a"] = 1
+        self.report("a")
+        self.assertEqual([], self.crashes())
+        self.assertIn("a-2", self.store.report_by_upstream)
+        self.assertNotIn("a-1", self.store.report_by_upstream)
