Do not let a new leader rely on the capacity in an old report

A new leader took the committed report of each upstream as heard now and placed work by its capacity for 3.75 s, whenever the report was made. An upstream that had shrunk meanwhile got starts beyond its capacity: the platform counts the reduced capacity one contact bound and one report after it shrank.

A restored report is now valid for the contact bound and one interval, less the age at which the previous leader would have had it removed, counted from the last contact with that leader; without such a contact it is not valid at all. Upstreams whose report is late are removed from the replicated state after 1.4 intervals instead of 2.5, so that this age is short. A start is sent only while the report is valid.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -286,6 +286,7 @@
             self._replica.is_leader,
             self._metrics,
             self._wall_clock,
+            leader_contact_at=self._replica.leader_contact_at(),
         )
         self.leader_term.start()
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
@@ -37,6 +37,15 @@
 # Upper limit of that time in the durations of the replicated log, in ms: where
 # the platform allows more, failover need not be slower.
 _MAX_CONTACT_MS = 3_000
+# Upstreams get no work from the age of their last report on at which a change
+# of their capacity that the report does not show might count, less this
+# margin, in ms.
+_REPORT_MARGIN_MS = 500
+# An upstream gets no work once it has missed two reports and a half, and the
+# replicated state forgets it once a report is late by two fifths of the
+# interval.
+_MISSED_REPORTS = 2.5
+_LATE_REPORT = 1.4
 # Ended jobs are kept a tenth longer than callers may query them.
 _RETENTION_SHARE = 1.1
 
@@ -48,7 +57,11 @@
     for the replicated log; an election begins after 1 to 1.6 times
     ``election_timeout_s`` without a leader.  ``failover_s`` is how long a
     failover takes at most, in which a leader is lost and replaced.
-    ``heartbeat_s`` is the interval of upstreams' reports.  ``wait_ms`` is how
+    ``heartbeat_s`` is the interval of upstreams' reports.  An upstream gets
+    work for ``report_valid_s`` after its last report, and from a new leader
+    without a report of its own for ``restored_report_s`` after the last
+    contact with the previous leader.  The replicated state forgets it
+    ``silent_after_s`` after its last report.  ``wait_ms`` is how
     long an upstream may wait for an end in a poll.  A stopping entry accepts
     new calls for ``notice_s`` after it reports as not ready, and calls in
     progress get ``drain_s`` more.
@@ -67,10 +80,16 @@
     election_timeout_s: float
     leader_lease_s: float
     failover_s: float
+    report_valid_s: float
+    restored_report_s: float
+    silent_after_s: float
 
 
 def derive_durations(bounds: BoundSettings) -> Durations:
     """Derive the durations from the bounds."""
+    # A reduced capacity counts from this age of a report on.
+    capacity_ms = bounds.contact_ms + bounds.heartbeat_ms - _REPORT_MARGIN_MS
+    silent_after_ms = bounds.heartbeat_ms * _LATE_REPORT
     contact_s = min(bounds.contact_ms, _MAX_CONTACT_MS) / 1_000
     return Durations(
         lease_ms=int(bounds.longest_lease_ms * _LEASE_SHARE),
@@ -86,4 +105,7 @@
         election_timeout_s=contact_s * _ELECTION_TIMEOUT_SHARE,
         leader_lease_s=contact_s * _LEADER_LEASE_SHARE,
         failover_s=contact_s * _FAILOVER_SHARE,
+        report_valid_s=min(bounds.heartbeat_ms * _MISSED_REPORTS, capacity_ms) / 1_000,
+        restored_report_s=max(0.0, capacity_ms - silent_after_ms) / 1_000,
+        silent_after_s=silent_after_ms / 1_000,
     )
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -56,7 +56,9 @@
 
     ``propose`` commits a command, ``leads`` returns whether the process still
     leads this term, and ``fence`` is the fencing token of all orders to
-    upstreams.  The state of the leader of the consensus group is another
+    upstreams.  ``leader_contact_at`` is when this process last heard from the
+    previous leader, on the clock ``now``, or None if it never did.  The state
+    of the leader of the consensus group is another
     class, ``persimmonyard.replication.leader_state.LeaderState``.
     """
 
@@ -71,6 +73,7 @@
         metrics: JobMetrics,
         wall_clock: SteadyWallClock,
         now: Callable[[], float] = boottime_now,
+        leader_contact_at: float | None = None,
     ):
         self.store = store
         self.upstream_client = upstream_client
@@ -82,7 +85,8 @@
         self.wall_clock = wall_clock
         self._ended_job_seen_at: dict[str, float] = {}
         self.log = get_logger("jobs").bind(term=fence)
-        self.fleet = Fleet(durations.heartbeat_s)
+        self.fleet = Fleet(durations.report_valid_s)
+        self._leader_contact_at = leader_contact_at
         self._metrics = metrics
         # Set when a background task has failed; the process then replaces
         # this object by a new one.
@@ -93,7 +97,13 @@
         self._planning_loop = PlanningLoop(self, self._estimator)
         self._drainer = UpstreamDrainer(self, self._estimator)
         self._upstream_registry = UpstreamRegistry(
-            store, self.fleet, propose, now, wall_clock, self._finish_failed_jobs
+            store,
+            self.fleet,
+            propose,
+            now,
+            wall_clock,
+            self._finish_failed_jobs,
+            durations.silent_after_s,
         )
         self.job_log = JobLog(self.log, store, self._estimator, metrics)
         self._session_by_id: dict[str, UpstreamSession] = {}
@@ -101,7 +111,12 @@
 
     def start(self) -> None:
         """Take over the runs of previous leaders and start planning."""
-        upstream_count = self._upstream_registry.restore(self.durations.lease_ms)
+        valid_until = float("-inf")
+        if self._leader_contact_at is not None:
+            valid_until = self._leader_contact_at + self.durations.restored_report_s
+        upstream_count = self._upstream_registry.restore(
+            self.durations.lease_ms, valid_until
+        )
         run_count = 0
         for seats in list(self.store.seats_by_upstream.values()):
             for (task_key, run), seat_record in list(seats.items()):
@@ -279,6 +294,8 @@
         """Return whether starts may still be sent to an upstream."""
         if upstream.report.leaving or upstream.gone:
             return False
+        if not self.fleet.is_report_valid(upstream, self.now()):
+            return False
         return upstream.report.zone not in self.store.zones_out
 
     def payload(self, task_run: TaskRun) -> str:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/upstream_registry.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/upstream_registry.py
@@ -20,7 +20,7 @@
 # service starts, the reports of many upstreams arrive together.
 _BATCH_DELAY_S = 0.05
 # Interval of the check for silent upstreams, in seconds.
-_SILENCE_CHECK_INTERVAL_S = 0.5
+_SILENCE_CHECK_INTERVAL_S = 0.2
 
 
 class UpstreamRegistry:
@@ -29,7 +29,9 @@
     Only changes are committed: a new incarnation, a changed property, a
     departure and silence.  ``fleet`` holds the reports that this leader
     received.  ``on_failed`` gets the identifiers of jobs that fail because a
-    task of theirs crashes upstreams.
+    task of theirs crashes upstreams.  An upstream without reports for
+    ``silent_after_s`` is removed, so that the next leader does not rely on
+    its last one.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         now: Callable[[], float],
         wall_clock: SteadyWallClock,
         on_failed: Callable[[tuple[str, ...]], None],
+        silent_after_s: float,
     ):
         self._store = store
         self._fleet = fleet
@@ -47,17 +50,19 @@
         self._now = now
         self._wall_clock = wall_clock
         self._on_failed = on_failed
+        self._silent_after_s = silent_after_s
         self._changed_ids: set[str] = set()
         self._changes_pending = asyncio.Event()
 
-    def restore(self, lease_ms: int) -> int:
+    def restore(self, lease_ms: int, valid_until: float) -> int:
         """Add the committed upstreams to the fleet.
 
+        Until they report to this leader, they get work up to ``valid_until``.
         Returns the number of those that are not leaving.
         """
         available_count = 0
         for report in self._store.report_by_upstream.values():
-            self._fleet.restore(report, lease_ms, self._now())
+            self._fleet.restore(report, lease_ms, self._now(), valid_until)
             available_count += not report.leaving
         return available_count
 
@@ -120,9 +125,8 @@
             if upstream is None or upstream.gone:
                 silent_ids.append(upstream_id)
                 continue
-            if not upstream.report.leaving and not self._fleet.is_available(
-                upstream, self._now()
-            ):
+            silent_s = self._now() - upstream.last_seen_at
+            if not upstream.report.leaving and silent_s > self._silent_after_s:
                 silent_ids.append(upstream_id)
         if silent_ids:
             await self._propose(ForgetUpstreams(tuple(silent_ids)))
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -14,9 +14,6 @@
 # Lowest rate of an upstream's clock relative to true time; the platform
 # documents it.
 _MIN_CLOCK_RATE = 0.98
-# An upstream gets no work once its last report is older than this many
-# heartbeat intervals.
-_MISSED_HEARTBEATS = 2.5
 # Age of the last report, in seconds, that is assumed for an upstream that has
 # not reported to this leader.
 _NEVER_SEEN_AGE_S = 1e6
@@ -61,7 +58,8 @@
     any lease that may have been granted.  While ``clock_known`` is false,
     ``latest_lease_end_ms`` and ``clock_ms`` count from the time at which the
     upstream was restored from the replicated state.  ``gone`` is true after
-    the upstream has ended or another one has taken over its address.
+    the upstream has ended or another one has taken over its address.  A
+    restored report without a later one is valid up to ``valid_until``.
     """
 
     report: UpstreamReport
@@ -72,6 +70,7 @@
     clock_known: bool = True
     gone: bool = False
     avoid_until: float = 0.0
+    valid_until: float = float("inf")
 
     def clock_floor_ms(self, now: float) -> int:
         """Return a lower bound of the upstream's clock at ``now``."""
@@ -116,8 +115,8 @@
     ``persimmonyard.scheduler`` has another class of this name.
     """
 
-    def __init__(self, heartbeat_s: float):
-        self._max_silence_s = heartbeat_s * _MISSED_HEARTBEATS
+    def __init__(self, report_valid_s: float):
+        self._report_valid_s = report_valid_s
         self.by_id: dict[str, Upstream] = {}
         self._incarnation_by_address: dict[str, int] = {}
 
@@ -142,6 +141,7 @@
             leaving = report.leaving or known.report.leaving
             known.report = report._replace(leaving=leaving)
             known.last_seen_at = now
+            known.valid_until = float("inf")
             known.gone = self._has_successor(report)
             known.record_clock(report.clock_ms, now)
         return known, False
@@ -174,24 +174,38 @@
         """
         if report.upstream_id in self.by_id:
             return
-        self.restore(report, lease_ms, now)
+        self.restore(report, lease_ms, now, now)
         self.by_id[report.upstream_id].last_seen_at = now - _NEVER_SEEN_AGE_S
 
-    def restore(self, report: UpstreamReport, lease_ms: int, now: float) -> None:
+    def restore(
+        self, report: UpstreamReport, lease_ms: int, now: float, valid_until: float
+    ) -> None:
         """Add an upstream whose report is in the replicated state.
 
-        It is available as if it had reported now, unless it is leaving.  Its
-        clock is unknown, as with ``restore_stale``.
+        It is available up to ``valid_until`` as if it had reported now, unless
+        it is leaving.  Its clock is unknown, as with ``restore_stale``.
         """
         self.by_id[report.upstream_id] = Upstream(
-            report, now, 0, now, latest_lease_end_ms=lease_ms, clock_known=False
+            report,
+            now,
+            0,
+            now,
+            latest_lease_end_ms=lease_ms,
+            clock_known=False,
+            valid_until=valid_until,
         )
 
     def is_available(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream reported recently and is not leaving."""
         if upstream.gone or upstream.report.leaving:
             return False
-        return now - upstream.last_seen_at <= self._max_silence_s
+        return self.is_report_valid(upstream, now)
+
+    def is_report_valid(self, upstream: Upstream, now: float) -> bool:
+        """Return whether the capacity in the last report still counts."""
+        if now > upstream.valid_until:
+            return False
+        return now - upstream.last_seen_at <= self._report_valid_s
 
     def remove_silent(
         self, silent_s: float, keep_ids: set[str], now: float
--- a/packages/replication/src/persimmonyard/replication/election.py
+++ b/packages/replication/src/persimmonyard/replication/election.py
@@ -40,6 +40,8 @@
         self._leader_contact_at = (
             core.now if began_at is None else min(core.now, began_at)
         )
+        # When a leader led this replica, itself or another, or None.
+        self.leader_contact_at: float | None = None
         self._votes: set[str] = set()
         self._pre_voting = False
         self._pre_vote_term = 0
@@ -50,6 +52,7 @@
     def on_leader_contact(self) -> None:
         """Record a message from the current leader."""
         self._leader_contact_at = self._core.now
+        self.leader_contact_at = self._core.now
         # A leader that knows this replica under an older incarnation sends
         # heartbeats too.  Recovery requests have to go on until the leader has
         # accepted the new incarnation, so the timer is not restarted.
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -223,6 +223,13 @@
         """Return the identity of the probable leader, or an empty string."""
         return self._core.leader_id if self._core is not None else ""
 
+    def leader_contact_at(self) -> float | None:
+        """Return when another replica last led this one, or None if never.
+
+        The time is in seconds of the clock of leases.
+        """
+        return self._core.election.leader_contact_at if self._core else None
+
     def status(self) -> ReplicaStatus:
         """Return the state of this replica for operators and metrics."""
         core = self._core
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -34,6 +34,9 @@
     election_timeout_s=0.4,
     leader_lease_s=0.3,
     failover_s=1.0,
+    report_valid_s=1_000.0,
+    restored_report_s=60.0,
+    silent_after_s=800.0,
 )
 CLOCK_MS = 1_000
 
@@ -170,6 +173,7 @@
         durations=DURATIONS,
         system_clock=time.time,
         steady_clock=boottime_now,
+        contact_at=None,
     ):
         self.wall_clock = SteadyWallClock(steady_clock, system_clock)
         self.store = store or JobStore()
@@ -185,6 +189,7 @@
             lambda: self.leading,
             JobMetrics(),
             self.wall_clock,
+            leader_contact_at=contact_at,
         )
 
     async def propose(self, command):
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -17,8 +17,9 @@
     SubmitJob,
     TaskEnd,
 )
-from persimmonyard.replication import NotLeaderError
+from persimmonyard.replication import NotLeaderError, boottime_now
 from test.daemon.jobs.fakes import (
+    DURATIONS,
     FakeUpstreamClient,
     InMemoryLeader,
     clock_ms,
@@ -270,8 +271,10 @@
 
 
 class TakeOverTests(unittest.IsolatedAsyncioTestCase):
-    async def take_over(self, upstreams, store):
-        leader = InMemoryLeader(upstreams, store, fence=2)
+    async def take_over(self, upstreams, store, contact_at=None):
+        leader = InMemoryLeader(
+            upstreams, store, fence=2, contact_at=contact_at or boottime_now()
+        )
         leader.term.start()
         self.addCleanup(leader.term.close)
         return leader
@@ -300,6 +303,30 @@
             lambda: any(task_key.job_id == other for task_key, _, _ in upstream.started)
         )
 
+    async def test_new_leader_does_not_rely_on_an_old_capacity(self):
+        """Guards against starts on an upstream that has shrunk meanwhile.
+
+        Its last committed report is older than the time for which the
+        platform lets a capacity count.
+        """
+        upstreams = FakeUpstreamClient()
+        upstream = upstreams.add("u1")
+        first = await self.first_leader(upstreams)
+        await wait_until(lambda: first.store.report_by_upstream)
+        await wait_until(lambda: upstream.started)
+        first.term.close()
+        contact_at = boottime_now() - DURATIONS.restored_report_s
+        second = await self.take_over(upstreams, first.store, contact_at)
+        other = "00000000000000b2"
+        await second.term.commit(SubmitJob(job(step(), job_id=other)))
+        await asyncio.sleep(0.3)
+        self.assertEqual(1, len(upstream.started))
+        second.report("u1", sequence=2, gpu=1)
+        await asyncio.sleep(0.3)
+        self.assertEqual(1, len(upstream.started))
+        second.report("u1", sequence=3, gpu=2)
+        await wait_until(lambda: len(upstream.started) == 2)
+
     async def test_new_leader_starts_nothing_on_an_upstream_that_left(self):
         """Guards against a departure that only the previous leader knows."""
         upstreams = FakeUpstreamClient()
--- a/test/jobs/fixtures.py
+++ b/test/jobs/fixtures.py
@@ -72,7 +72,7 @@
 
     def __init__(self, guaranteed=0):
         self.store = JobStore()
-        self.fleet = Fleet(1.5)
+        self.fleet = Fleet(3.75)
         self.planner = Planner(self.store, self.fleet, RunTimeEstimator())
         self.now = 10.0
         self.runs = {}
--- a/test/jobs/test_planner.py
+++ b/test/jobs/test_planner.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from persimmonyard.jobs import RunProgress, SetZone
+from persimmonyard.jobs import RunProgress, SetZone, TaskEnd
 from test.jobs.fixtures import Cluster, step
 
 
@@ -50,6 +50,24 @@
         rest = len(cluster.place().placements) + len(cluster.place().placements)
         self.assertEqual(280, len(first.placements) + rest)
 
+    def test_shrunk_upstream_gets_work_only_once_it_has_room(self):
+        """Guards against starts in capacity that is gone under running tasks.
+
+        It shrinks below what runs there, and grows again.
+        """
+        cluster = Cluster()
+        cluster.add("u1")
+        cluster.submit(step(6))
+        cluster.place()
+        cluster.add("u1", gpu=4, sequence=2)
+        other = cluster.submit(step(3), job_id="b" * 16)
+        self.assertEqual([], cluster.place().placements)
+        cluster.add("u1", gpu=7, sequence=3)
+        self.assertEqual(1, len(cluster.place().placements))
+        cluster.add("u1", gpu=8, sequence=4)
+        placements = cluster.place().placements
+        self.assertEqual([other.job_id], [p.key.job_id for p in placements])
+
     def test_nothing_is_placed_beyond_capacity(self):
         """Guards against a second plan that ignores runs already placed."""
         cluster = Cluster()
@@ -188,6 +206,25 @@
         self.assertEqual(0, len(cluster.place().preemptions))
         self.assertEqual(2, len(cluster.place(after_ms=1_000).preemptions))
 
+    def test_preemption_counts_capacity_that_has_gone(self):
+        """Guards against a preemption that frees too little.
+
+        One of the two runs is in capacity that its upstream no longer has.
+        """
+        cluster = Cluster(guaranteed=8)
+        cluster.add("u1")
+        self.place_normal_job(cluster)
+        cluster.add("u1", gpu=6, sequence=2)
+        cluster.submit(step(1, gpu=4), route="urgent")
+        plan = cluster.place()
+        self.assertEqual(2, len(plan.preemptions))
+        self.assertEqual([], plan.placements)
+        for preemption in plan.preemptions:
+            unit = cluster.store.job_by_id[preemption.key.job_id].units[preemption.key]
+            cluster.end_run(preemption.key, unit, TaskEnd.STOPPED)
+        cluster.runs.clear()
+        self.assertEqual(1, len(cluster.place().placements))
+
     def test_capacity_being_freed_is_not_freed_twice(self):
         """Guards against further preemptions while the first runs stop.
 
