Check the capacity of an upstream again when a start is sent

A placement is decided by the capacity in the last report, but its start is sent after a commit, and repeated while it gets no answer. An upstream that shrank in between was started beyond its capacity.

Each start is checked against all runs there, those that are being stopped included, and against starts that are placed earlier. A start that was not sent ends as rejected and is placed elsewhere; one that may have arrived is stopped. A start that was not sent also no longer waits for a silent upstream to confirm a stop when the upstream leaves service.

Two of the new tests failed before; those on planning, preemption and stopping runs hold on the earlier code as well.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -13,7 +13,7 @@
     StartOrder,
     Target,
 )
-from persimmonyard.jobs import RunEnd, TaskEnd, TaskKey, Upstream
+from persimmonyard.jobs import RunEnd, TaskEnd, TaskKey, Upstream, charged_resources
 
 if TYPE_CHECKING:
     from persimmonyard.daemon.jobs.leader_term import LeaderTerm
@@ -338,7 +338,7 @@
             if unit is None or not term.leads():
                 return
             if not term.may_start(self.upstream):
-                self.stop(task_run, "upstream left service")
+                await self._give_up_start(task_run, "upstream left service")
                 return
             if not self.upstream.clock_known:
                 if term.now() - first_attempt_at > term.durations.order_timeout_s:
@@ -346,6 +346,11 @@
                     return
                 await asyncio.sleep(_CLOCK_POLL_S)
                 continue
+            if not self._has_room(task_run):
+                term.record_event("shrunk")
+                await self._give_up_start(task_run, "upstream has shrunk")
+                return
+            task_run.sent = True
             now = term.now()
             order = StartOrder(
                 task_run.task_key,
@@ -373,6 +378,40 @@
             if await self._handle_start_reply(task_run, reply, first_attempt_at):
                 return
 
+    def _has_room(self, task_run: TaskRun) -> bool:
+        """Return whether a start keeps the upstream within its capacity.
+
+        The capacity may have shrunk since the placement.  Runs that are being
+        stopped count, and of the starts that were not sent yet those placed
+        earlier.
+        """
+        free = self.upstream.report.capacity
+        earlier = True
+        for other in self.task_run_by_key.values():
+            if other is task_run:
+                earlier = False
+            elif earlier or other.sent or other.state != RunState.STARTING:
+                free = free.minus(charged_resources(other.step))
+        return charged_resources(task_run.step).fits(free)
+
+    async def _give_up_start(self, task_run: TaskRun, reason: str) -> None:
+        """End a run that was not sent, or stop one that may have started."""
+        if task_run.sent:
+            self.stop(task_run, reason)
+            return
+        await self._record_unsent(task_run, reason)
+
+    async def _record_unsent(self, task_run: TaskRun, reason: str) -> None:
+        self._term.log.info(
+            "start not sent",
+            job=task_run.task_key.job_id,
+            task=task_run.task_key.log_label(),
+            run=task_run.run,
+            upstream=self.upstream.report.upstream_id,
+            reason=reason,
+        )
+        await self._term.record_ends(self, [self._run_end(task_run, TaskEnd.REJECTED)])
+
     async def _reject_unsent(self, task_run: TaskRun) -> None:
         """End a run whose start was not sent because the upstream is silent.
 
@@ -384,14 +423,7 @@
         if task_run.in_doubt:
             self.stop(task_run, "start unanswered")
             return
-        term.log.info(
-            "start not sent",
-            job=task_run.task_key.job_id,
-            task=task_run.task_key.log_label(),
-            run=task_run.run,
-            upstream=upstream.report.upstream_id,
-        )
-        await term.record_ends(self, [self._run_end(task_run, TaskEnd.REJECTED)])
+        await self._record_unsent(task_run, "upstream is silent")
 
     async def _handle_start_reply(
         self, task_run: TaskRun, reply: OrderReply, first_attempt_at: float
--- a/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
@@ -38,11 +38,11 @@
 class TaskRun:
     """One run of a task on one upstream; times are of the monotonic clock.
 
-    ``in_doubt`` is true if a start got no answer, so that the upstream may
-    still execute it.  ``answered_at`` is when the upstream last confirmed
-    that the run was started or stopped.  ``progressed_at`` is when
-    ``percent`` last changed.  ``first_percent`` is the progress in the first
-    listing, at ``first_progress_at``.
+    ``sent`` is true once a start was sent, and ``in_doubt`` if one got no
+    answer, so that the upstream may still execute it.  ``answered_at`` is
+    when the upstream last confirmed that the run was started or stopped.
+    ``progressed_at`` is when ``percent`` last changed.  ``first_percent`` is
+    the progress in the first listing, at ``first_progress_at``.
     """
 
     task_key: TaskKey
@@ -51,6 +51,7 @@
     step: Step
     state: RunState
     placed_at: float
+    sent: bool = False
     in_doubt: bool = False
     answered_at: float | None = None
     started_at: float | None = None
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -5,6 +5,7 @@
 other classes.
 """
 
+from persimmonyard.jobs.capacity import charged_resources
 from persimmonyard.jobs.commands import (
     CancelJob,
     Command,
@@ -95,6 +96,7 @@
     "Upstream",
     "UpstreamHealth",
     "UpstreamReport",
+    "charged_resources",
     "configuration_problem",
     "decide_without_leader",
     "decode_command",
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -14,6 +14,7 @@
     EndRuns,
     JobState,
     JobStore,
+    PlaceRuns,
     SubmitJob,
     TaskEnd,
 )
@@ -208,6 +209,63 @@
         self.leader.report("u2")
         await wait_until(lambda: other.started)
 
+    async def test_placed_start_is_not_sent_to_an_upstream_that_shrank(self):
+        """Guards against a start that overloads an upstream.
+
+        Its capacity shrinks after the placement was decided.
+        """
+        self.leader.report("u1")
+        propose = self.leader.term.propose
+
+        async def propose_and_shrink(command):
+            if isinstance(command, PlaceRuns):
+                self.leader.report("u1", sequence=2, gpu=4)
+            return await propose(command)
+
+        self.leader.term.propose = propose_and_shrink
+        record = await self.submit(step(4, gpu=2))
+        await self.wait_for_start(2)
+        await asyncio.sleep(0.3)
+        self.assertEqual(2, len(self.upstream.started))
+        self.leader.term.propose = propose
+        self.leader.report("u1", sequence=3, gpu=8)
+        await self.wait_for_start(4)
+        self.assertEqual(JobState.RUNNING, record.state())
+
+    async def test_start_is_not_repeated_on_an_upstream_that_shrank(self):
+        """Guards against a repeated start that overloads an upstream."""
+        self.leader.report("u1")
+        self.upstreams.delayed.add("u1")
+        await self.submit(step(gpu=8))
+        await wait_until(lambda: self.upstreams.delayed_starts)
+        self.leader.report("u1", sequence=2, gpu=4)
+        self.upstreams.delayed.clear()
+        await asyncio.sleep(0.3)
+        self.assertEqual([], self.upstream.started)
+
+    async def test_stopping_run_takes_room_of_an_upstream_that_shrank(self):
+        """Guards against a start in the room of a run that still stops."""
+        self.leader.report("u1")
+        await self.submit(step(2, gpu=4))
+        await self.wait_for_start(2)
+        self.leader.report("u1", sequence=2, gpu=4)
+        stop = self.upstreams.stop
+        stop_allowed = asyncio.Event()
+
+        async def stop_when_allowed(*arguments):
+            await stop_allowed.wait()
+            return await stop(*arguments)
+
+        self.upstreams.stop = stop_when_allowed
+        await self.leader.term.commit(CancelJob(JOB_ID, 1))
+        self.leader.term.stop_job(JOB_ID, "cancelled")
+        other = "00000000000000b2"
+        await self.submit(step(gpu=4), job_id=other)
+        await asyncio.sleep(0.3)
+        self.assertEqual(2, len(self.upstream.started))
+        stop_allowed.set()
+        await self.wait_for_start(3)
+
     async def test_upstream_that_left_loses_its_runs(self):
         """Guards against waiting for the leases of an upstream that left."""
         self.leader.report("u1")
