Tell callers of a request which upstreams crashed under it

A request under which upstreams crash was given up after five attempts with the message "5 attempts failed"; neither the replicated state nor explain told a crash from a cut.

The message of a request that is given up, and explain, name these upstreams. The limit of five attempts, which counts lost attempts of any cause, is unchanged, and requests are not started apart; both are open. The new tests failed before (no such message, no such field).

--- a/packages/daemon/src/persimmonyard/daemon/control/views.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/views.py
@@ -116,6 +116,9 @@
     """
     attempts = []
     for attempt in record.attempts:
+        crashed = [
+            attempt.members[index].upstream_id for index in attempt.crashed_members
+        ]
         attempts.append(
             {
                 "number": attempt.number,
@@ -124,6 +127,7 @@
                 "outcome": attempt.outcome,
                 "borrowed": attempt.borrowed,
                 "reason": attempt.stop_reason,
+                "crashed_upstreams": crashed,
             }
         )
     return {
--- a/packages/state/src/persimmonyard/state/records.py
+++ b/packages/state/src/persimmonyard/state/records.py
@@ -100,7 +100,9 @@
 class Attempt:
     """An attempt to run a request on a set of upstreams.
 
-    ``lost_members`` and ``failed_members`` are indexes into ``members``.
+    ``lost_members``, ``failed_members`` and ``crashed_members`` are indexes
+    into ``members``.  An upstream has crashed if it restarted without having
+    announced to leave.
     ``preempted_for`` is the request that the capacity was freed for.
     Times are in seconds.
     """
@@ -117,6 +119,7 @@
     preempted_for: str = ""
     lost_members: tuple[int, ...] = ()
     failed_members: tuple[int, ...] = ()
+    crashed_members: tuple[int, ...] = ()
     placed_at: float = 0.0
     started_at: float | None = None
     ended_at: float | None = None
--- a/packages/state/src/persimmonyard/state/request_transitions.py
+++ b/packages/state/src/persimmonyard/state/request_transitions.py
@@ -162,13 +162,26 @@
     """
     if not record.cancel_requested and record.failures >= MAX_ATTEMPTS:
         record.code = ResultCode.FAILED_ON_MANY_UPSTREAMS
-        record.message = f"{record.failures} attempts failed"
+        record.message = _describe_failures(record)
         set_state(record, RequestState.FINISHED, at, reason)
         return
     record.not_before = at + RETRY_BACKOFF_S * 2 ** (record.failures - 1)
     _requeue_or_cancel(record, at, reason)
 
 
+def _describe_failures(record: RequestRecord) -> str:
+    """Return the message of a request whose attempts all failed."""
+    crashed_ids = []
+    for attempt in record.attempts:
+        for index in attempt.crashed_members:
+            crashed_ids.append(attempt.members[index].upstream_id)
+    message = f"{record.failures} attempts failed"
+    if not crashed_ids:
+        return message
+    message += f"; upstreams crashed under it: {', '.join(crashed_ids)}"
+    return message[:MAX_REASON_CHARACTERS]
+
+
 def _requeue_or_cancel(record: RequestRecord, at: float, reason: str) -> None:
     if not record.cancel_requested:
         set_state(record, RequestState.ACCEPTED, at, reason)
--- a/packages/state/src/persimmonyard/state/upstream_commands.py
+++ b/packages/state/src/persimmonyard/state/upstream_commands.py
@@ -38,11 +38,14 @@
             ResultCode.NOT_FOUND, "a newer start of the upstream is known"
         )
     else:
+        announced = UpstreamStatus.LEAVING in (upstream.status, upstream.before_loss)
         store.recover_upstream(upstream, UpstreamStatus.UP)
         past = (*upstream.past_incarnations, upstream.spec.incarnation)
         store.contents.upstream_by_id[spec.upstream_id] = UpstreamRecord(
             spec, past_incarnations=past[-MAX_PAST_INCARNATIONS:]
         )
+        if not announced:
+            _mark_members_crashed(store, spec.upstream_id)
         _stop_attempts_on(store, spec.upstream_id, "restarted")
     store.emit_change(ChangeKind.UPSTREAM, spec.upstream_id)
     return CommandResult()
@@ -96,6 +99,17 @@
         store.emit_change(ChangeKind.REQUEST, request_id)
 
 
+def _mark_members_crashed(store: StateStore, upstream_id: str) -> None:
+    """Record the crash of an upstream for the requests that ran on it."""
+    for request_id in sorted(store.request_ids_by_upstream.get(upstream_id, ())):
+        attempt = store.contents.request_by_id[request_id].live_attempt()
+        if attempt is None or attempt.started_at is None:
+            continue
+        for index, member in enumerate(attempt.members):
+            if member.upstream_id == upstream_id:
+                attempt.crashed_members += (index,)
+
+
 def _mark_members_lost(attempt: Attempt, upstream_id: str) -> None:
     for index, member in enumerate(attempt.members):
         if member.upstream_id != upstream_id or index in attempt.lost_members:
--- a/test/state/test_upstream_commands.py
+++ b/test/state/test_upstream_commands.py
@@ -8,6 +8,7 @@
     RegisterUpstream,
     SetUpstreamStatus,
 )
+from persimmonyard.state.machine import StateMachine
 from persimmonyard.state.records import (
     AttemptOutcome,
     AttemptState,
@@ -87,6 +88,49 @@
             (attempt.state, attempt.lost_members), (AttemptState.STOPPING, (1,))
         )
 
+    def crash_until_ended(self, record):
+        """Restart the upstream under each attempt; return the starts."""
+        starts = 0
+        while not record.ended():
+            attempt = self.fixture.start(record)
+            starts += 1
+            self.register(f"crash-{starts}")
+            self.fixture.end(record, attempt, AttemptOutcome.LOST)
+        return starts
+
+    def test_request_that_crashes_upstreams_is_given_up(self):
+        """A request must not crash one upstream after another without end.
+
+        Its caller sees which upstreams restarted under it.
+        """
+        record = self.fixture.submit(idempotent=True)
+        self.assertLessEqual(self.crash_until_ended(record), 5)
+        self.assertEqual(record.code, ResultCode.FAILED_ON_MANY_UPSTREAMS)
+        self.assertIn("upstreams crashed under it: up-0", record.message)
+        restored = StateMachine()
+        restored.restore(self.fixture.machine.snapshot())
+        attempts = restored.request_by_id[record.request_id].attempts
+        self.assertEqual((0,), attempts[-1].crashed_members)
+
+    def test_restart_after_leaving_counts_as_no_crash(self):
+        """A planned departure must not count against the requests on it."""
+        record = self.fixture.submit(idempotent=True)
+        attempt = self.fixture.start(record)
+        self.set_status(UpstreamStatus.LEAVING)
+        self.set_status(UpstreamStatus.LOST)
+        self.register("b")
+        self.assertEqual((), attempt.crashed_members)
+        self.fixture.end(record, attempt, AttemptOutcome.LOST)
+        self.assertFalse(record.ended())
+
+    def test_upstream_that_was_cut_off_counts_as_no_crash(self):
+        """A silence that ends must not count against the requests on it."""
+        record = self.fixture.submit(idempotent=True)
+        attempt = self.fixture.start(record)
+        self.set_status(UpstreamStatus.LOST)
+        self.register("a")
+        self.assertEqual((), attempt.crashed_members)
+
     def test_lost_upstream_expires_after_its_attempts(self):
         """Lost upstreams must not accumulate as instances are replaced.
 
