--- a/test/replication/test_replica.py
+++ b/test/replication/test_replica.py
@@ -336,6 +336,26 @@
         self.empty(full)
         await asyncio.wait_for(call, DEADLINE_S)
 
+    async def test_disks_full_in_turn_leave_a_group_that_takes_changes(self):
+        """Guards against changes that stay refused once all disks have room.
+
+        Each disk is full for a while, the leader's in each round among them,
+        and is empty again before the next one fills.
+        """
+        await self.launch_all()
+        for number in range(2 * len(NAMES)):
+            full = await self.leader() if number % 2 else NAMES[number // 2]
+            self.fill(full)
+            await self.propose(b"while %d is full" % number)
+            await self.wait_until(lambda full=full: self.suspended(full))
+            self.empty(full)
+            await self.wait_until(lambda full=full: not self.suspended(full))
+        await self.propose(b"after all")
+        await self.wait_for_same_entries()
+        for name in NAMES:
+            self.assertEqual(b"after all", self.state_machine_by_name[name].entries[-1])
+        self.assertEqual([], self.failures)
+
     async def test_two_full_disks_lose_nothing_that_was_acknowledged(self):
         """Guards against entries lost when most disks are full at once.
 
