Keep an excused crash, so that its lost seat does not count later

A crash that was excused as part of an outage was dropped from its unit. When the run ended as lost after that, its seat was kept as one on a silent upstream, and the next restart at the address counted the crash after all: a task that a zone outage had hit was a suspect once the zone restarted again.

Excused crashes now stay with their unit and are marked. The test of a zone without power restarts the zone's upstreams once more and failed before.

--- a/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
+++ b/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
+
 from persimmonyard.jobs.commands import Seat
 from persimmonyard.jobs.crashes import (
     Crash,
@@ -254,15 +256,17 @@
 
 
 def _excuse(unit: "Unit", ended: set[tuple[str, int]]) -> None:
-    """Remove the crashes of some incarnations from those of a unit."""
-    kept = []
-    for crash in unit.crashes:
-        if (crash.upstream_id, crash.incarnation) not in ended:
-            kept.append(crash)
-    if len(kept) == len(unit.crashes) or unit.excused_runs >= _MAX_EXCUSED_RUNS:
+    """Excuse a unit for the crashes of some incarnations under it."""
+    if unit.excused_runs >= _MAX_EXCUSED_RUNS:
         return
-    unit.crashes = kept
-    unit.excused_runs += 1
+    crashes = []
+    for crash in unit.crashes:
+        if (crash.upstream_id, crash.incarnation) in ended:
+            crash = msgspec.structs.replace(crash, excused=True)
+        crashes.append(crash)
+    unit.crashes = crashes
+    excused = {crash.run for crash in crashes if crash.excused}
+    unit.excused_runs = len(excused)
 
 
 def _is_predecessor(earlier: Seat | UpstreamReport, report: UpstreamReport) -> bool:
--- a/packages/jobs/src/persimmonyard/jobs/crashes.py
+++ b/packages/jobs/src/persimmonyard/jobs/crashes.py
@@ -55,7 +55,7 @@
     """A crash of an upstream under a run of a unit.
 
     ``suspect`` is true if the unit may have caused it, and ``sole`` if no
-    other unit may have.
+    other unit may have.  An ``excused`` crash had another cause.
     """
 
     upstream_id: str
@@ -64,6 +64,7 @@
     run: int
     suspect: bool
     sole: bool
+    excused: bool = False
 
 
 class LostSeat(msgspec.Struct, frozen=True, array_like=True):
@@ -107,6 +108,8 @@
     """Return whether a unit with these crashes has to start apart."""
     runs = set()
     for crash in crashes:
+        if crash.excused:
+            continue
         if crash.suspect:
             return True
         runs.add(crash.run)
@@ -117,7 +120,7 @@
     """Return whether a placed unit keeps its upstream to itself."""
     if not crashes or not may_be_to_blame(crashes):
         return False
-    runs = {crash.run for crash in crashes}
+    runs = {crash.run for crash in crashes if not crash.excused}
     return run_age_ms < (_PROBATION_MS if len(runs) == 1 else _LONG_PROBATION_MS)
 
 
@@ -138,6 +141,7 @@
 
 def guilty(crashes: list[Crash]) -> bool:
     """Return whether a unit is to be given up because of its crashes."""
+    crashes = [crash for crash in crashes if not crash.excused]
     suspect_runs = {crash.run for crash in crashes if crash.suspect}
     if len(suspect_runs) >= _GUILTY_SUSPICIONS:
         return True
@@ -155,7 +159,9 @@
     name = f"{key.occurrence}.{key.step}.{key.task}"
     if key.task < 0:
         name = f"{key.occurrence}.{key.step}, a gang,"
-    upstream_ids = ", ".join(crash.upstream_id for crash in crashes)
+    upstream_ids = ", ".join(
+        crash.upstream_id for crash in crashes if not crash.excused
+    )
     return f"upstreams crashed under task {name}: {upstream_ids}"
 
 
--- a/test/jobs/test_crashes.py
+++ b/test/jobs/test_crashes.py
@@ -91,7 +91,9 @@
         self.now_ms += 4_000
 
     def crashes(self, job_id=JOB_ID, task=0):
-        return self.store.job_by_id[job_id].units[UnitKey(job_id, 0, 0, task)].crashes
+        """Return the crashes that count for a task."""
+        unit = self.store.job_by_id[job_id].units[UnitKey(job_id, 0, 0, task)]
+        return [crash for crash in unit.crashes if not crash.excused]
 
     def restore(self):
         """Continue with a store that was restored from a snapshot."""
@@ -256,6 +258,9 @@
                 self.restart(name, zone=zone, rack=name)
                 self.now_ms += 200
             self.end()
+        # The upstreams start once more, long after the outages.
+        for zone in ("z1", "z2"):
+            self.restart(f"{zone}0", zone=zone, rack=f"{zone}0")
         self.assertEqual([], self.crashes())
         self.assertTrue(self.store.job_by_id[JOB_ID].is_active())
 
