Test a crashing job end to end, wait for upstreams between fuzz seeds

The end-to-end test has one upstream that restarts under each run and stops the leader in between; the caller sees the job as failed and the reason at /explain.

The fuzz test let an upstream that was still restarting report to the leader of the next seed, under an incarnation that hid later ones.

--- a/test/daemon/jobs/crashing_upstreams.py
+++ b/test/daemon/jobs/crashing_upstreams.py
@@ -74,6 +74,10 @@
         self._boots.add(boot)
         boot.add_done_callback(self._boots.discard)
 
+    async def finish_boots(self):
+        """Wait until every crashed upstream has come back."""
+        await asyncio.gather(*self._boots)
+
     async def _boot_later(self, address):
         await asyncio.sleep(DOWN_S)
         incarnation = self.by_address[address].incarnation + 1
--- a/test/daemon/jobs/test_crash_fuzz.py
+++ b/test/daemon/jobs/test_crash_fuzz.py
@@ -99,6 +99,8 @@
                 60.0,
             )
         finally:
+            # Otherwise they would report to the leader of the next seed.
+            await self.upstreams.finish_boots()
             self.leader.term.close()
             finisher.cancel()
             with contextlib.suppress(asyncio.CancelledError):
--- a/test/platform_adapter/test_end_to_end.py
+++ b/test/platform_adapter/test_end_to_end.py
@@ -63,7 +63,7 @@
     }
 
 
-def report_body(state="ready", sequence=1):
+def report_body(state="ready", sequence=1, born=1):
     return {
         "service": "svc",
         "address": "u1:80",
@@ -73,7 +73,7 @@
         "labels": ["a", "r1"],
         "clock_ms": 1000,
         "seq_no": sequence,
-        "born": 1,
+        "born": born,
     }
 
 
@@ -315,6 +315,33 @@
                 await asyncio.sleep(0.02)
         self.assertEqual(2, len(self.upstream.started))
 
+    async def test_job_that_crashes_its_upstream_fails_and_says_why(self):
+        """Guards against a job that crashes upstreams for ever.
+
+        The only upstream restarts under each run, and the leader stops after
+        the second one.
+        """
+        await self.send_report()
+        body = {"steps": [{"cpu": 500, "mem_mb": 256, "gpu": 1}]}
+        await self.caller.post(f"/p/{JOB_ID}", json=body)
+        born = 1
+        while born <= 5:
+            await wait_until(lambda: self.upstream.started, 20.0)
+            born += 1
+            if born == 3:
+                await self.controls.pop(self.leader_ip()).stop()
+            self.upstream = self.upstream_client.add("u1")
+            self.upstream.incarnation = born
+            await self.send_report(born=born)
+            if await self.read_state() == "failed":
+                break
+        self.assertEqual("failed", await self.read_state())
+        self.assertLessEqual(born - 1, 5)
+        reply = await self.caller.get(f"/p/{JOB_ID}/explain")
+        self.assertIn("crashed under task 0.0.0", reply.json()["reason"])
+        await asyncio.sleep(0.3)
+        self.assertEqual([], self.upstream.started)
+
     async def test_process_with_empty_data_folder_rejoins_the_group(self):
         """Guards against a group that shrinks with every lost disk.
 
