Place a request under which an upstream crashed on an empty upstream

A request that crashes its upstream was placed by best fit again, next to the requests that had shared the upstream with it, so that it took the same neighbours along up to five times.

The scheduler gets the number of attempts with a crash. A request that can be stopped and has had one is placed on empty upstreams if its shape fits there, and is not used as a probe; otherwise it is placed as before, without a wait. The new test fails without the step.

--- a/packages/daemon/src/persimmonyard/daemon/control/scheduler_feed.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/scheduler_feed.py
@@ -269,6 +269,7 @@
         not_before=max(record.not_before, not_before),
         avoid=frozenset(avoid),
         attempts=len(record.attempts),
+        crashes=sum(bool(attempt.crashed_members) for attempt in record.attempts),
     )
 
 
--- a/packages/scheduler/src/persimmonyard/scheduler/events.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/events.py
@@ -32,9 +32,10 @@
 
     Unlike ``persimmonyard.jobs.model.Job``, it is neither sent nor stored.
     Times are in seconds on the clock that the caller passes to the scheduler.
-    ``avoid`` holds upstreams on which the request has failed.  ``attempts`` is
-    the number of attempts recorded so far, ``None`` if the scheduler counts
-    them itself.
+    ``avoid`` holds upstreams on which the request has failed, and ``crashes``
+    is the number of attempts under which an upstream has crashed.
+    ``attempts`` is the number of attempts recorded so far, ``None`` if the
+    scheduler counts them itself.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
     attempts: int | None = None
+    crashes: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/scheduler/src/persimmonyard/scheduler/planner.py
+++ b/packages/scheduler/src/persimmonyard/scheduler/planner.py
@@ -22,6 +22,7 @@
     fit_count,
     member_need,
     scale,
+    subtract,
 )
 from persimmonyard.scheduler.victim_selection import choose_victims
 
@@ -42,6 +43,7 @@
 RECLAIMED = Reason("reclaimed", "on guaranteed capacity taken back from borrowers")
 RESERVED = Reason("held", "on capacity that was held back for it")
 URGENT = Reason("urgent", "urgent work that takes the place of borrowers")
+APART = Reason("apart", "on an empty upstream since one crashed under it")
 PROBE = Reason("probe", "probes an upstream whose quarantine has ended")
 NO_CAPACITY = Reason("no_capacity", "not enough free capacity now")
 LAYOUT_PENDING = Reason("layout", "waits until guarantees are laid out anew")
@@ -83,6 +85,7 @@
         """
         search = _Search(self._state, job, now, excluded)
         steps = [
+            search.on_empty_upstream,
             search.on_probed_upstream,
             search.in_unused_guarantee,
             search.on_surplus,
@@ -129,12 +132,34 @@
         if throttled:
             self._allowed_zones = frozenset(self._fleet.ids_by_zone) - throttled
 
+    def on_empty_upstream(self) -> PlacementPlan | None:
+        """Use empty upstreams for a job under which an upstream has crashed.
+
+        If it is to blame, it then takes no other work along.
+        """
+        if not self._job.crashes or not self.preemptible:
+            return None
+
+        def available(node: Node) -> Vector:
+            return (
+                node.free
+                if node.free == node.capacity
+                else subtract(node.free, node.free)
+            )
+
+        members = self._search_view(CapacityView.FREE, available)
+        if members is None:
+            return None
+        return PlacementPlan(members, TaskKind.BORROWER, [], APART)
+
     def on_probed_upstream(self) -> PlacementPlan | None:
         """Use an upstream that needs a probe after its quarantine."""
         probing = self._state.quarantine_manager.probing_ids
         job = self._job
         if not probing or not job.idempotent or job.shape.gang > 1:
             return None
+        if job.crashes:
+            return None
         if self._state.urgent(job):
             return None
 
--- a/test/scheduler/test_scheduler.py
+++ b/test/scheduler/test_scheduler.py
@@ -548,6 +548,22 @@
         self.cluster.decide()
         self.assertEqual(self.cluster.log[1].upstream_ids, ("u0", "u1"))
 
+    def test_job_with_a_crash_takes_no_others_along(self):
+        """A job under which an upstream crashed runs on an empty upstream.
+
+        It waits for none, and other work may use the rest of the upstream.
+        """
+        self.add(2)
+        self.submit("r1", "a")
+        self.cluster.decide()
+        used = self.cluster.log[0].upstream_ids
+        self.submit("suspect", "a", crashes=1)
+        self.cluster.decide()
+        self.assertNotEqual(used, self.cluster.log[1].upstream_ids)
+        self.submit("second", "a", crashes=1)
+        self.cluster.decide()
+        self.assertIn("second", self.cluster.running)
+
     def test_rejected_placement_is_repeated_with_the_same_number(self):
         """A placement that was not recorded is repeated with its number.
 
