Recognize an outage that lasts longer than the registry keeps silent upstreams

A zone without power was taken for an outage only if its upstreams were back before they were removed from the replicated registry, or had runs: an idle upstream that had been removed was not known to have crashed, so that too few of the zone's upstreams seemed to, and its tasks became suspects.

In passing, tasks and gangs are named alike in logs and reasons, and the fleet no longer records an address in a method that only asks.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/explanation.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/explanation.py
@@ -11,7 +11,7 @@
 
 
 class TaskExplanation(TypedDict):
-    """A task, or a gang with task -1, that failed or was on a crash."""
+    """A task or gang that failed or under which upstreams crashed."""
 
     task: str
     runs: int
@@ -41,7 +41,7 @@
             break
         tasks.append(
             TaskExplanation(
-                task=key.task_key(key.task).log_label(),
+                task=key.log_label(),
                 runs=unit.run,
                 failures=unit.failures,
                 crashed_upstreams=[crash.upstream_id for crash in unit.crashes],
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -338,7 +338,7 @@
             if unit is None or not term.leads():
                 return
             if not term.may_start(self.upstream):
-                await self._give_up_start(task_run, "upstream left service")
+                await self._give_up_start(task_run, "upstream is out of service")
                 return
             if not self.upstream.clock_known:
                 if term.now() - first_attempt_at > term.durations.order_timeout_s:
--- a/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
+++ b/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
@@ -112,6 +112,9 @@
         for known in self._store.report_by_upstream.values():
             if _is_predecessor(known, report):
                 self._add_ended(ended_by_incarnation, known, report)
+        silent = self._store.silent_report_by_address.get(report.address)
+        if silent is not None:
+            self._add_ended(ended_by_incarnation, silent, report)
         return [
             ended
             for ended in ended_by_incarnation.values()
--- a/packages/jobs/src/persimmonyard/jobs/crashes.py
+++ b/packages/jobs/src/persimmonyard/jobs/crashes.py
@@ -156,13 +156,10 @@
 
 def describe_guilt(key: UnitKey, crashes: list[Crash]) -> str:
     """Return why a job failed, for its caller."""
-    name = f"{key.occurrence}.{key.step}.{key.task}"
-    if key.task < 0:
-        name = f"{key.occurrence}.{key.step}, a gang,"
     upstream_ids = ", ".join(
         crash.upstream_id for crash in crashes if not crash.excused
     )
-    return f"upstreams crashed under task {name}: {upstream_ids}"
+    return f"upstreams crashed under {key.log_label()}: {upstream_ids}"
 
 
 class CrashLog:
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -130,7 +130,8 @@
         known = self.by_id.get(report.upstream_id)
         if known is None or report.incarnation > known.report.incarnation:
             upstream = Upstream(report, now, report.clock_ms, now)
-            upstream.gone = self._has_successor(report)
+            self._record_address(report)
+            upstream.gone = self._is_replaced(report)
             self.by_id[report.upstream_id] = upstream
             return upstream, True
         if report.incarnation < known.report.incarnation:
@@ -142,18 +143,20 @@
             known.report = report._replace(leaving=leaving)
             known.last_seen_at = now
             known.valid_until = float("inf")
-            known.gone = self._has_successor(report)
+            known.gone = self._is_replaced(report)
             known.record_clock(report.clock_ms, now)
         return known, False
 
-    def _has_successor(self, report: UpstreamReport) -> bool:
+    def _record_address(self, report: UpstreamReport) -> None:
+        newest = self._incarnation_by_address.get(report.address, 0)
+        self._incarnation_by_address[report.address] = max(newest, report.incarnation)
+
+    def _is_replaced(self, report: UpstreamReport) -> bool:
         """Return whether another upstream has started at the address since.
 
         A delayed report may arrive after that.
         """
-        newest = self._incarnation_by_address.get(report.address, 0)
-        self._incarnation_by_address[report.address] = max(newest, report.incarnation)
-        return report.incarnation < newest
+        return report.incarnation < self._incarnation_by_address[report.address]
 
     def predecessors(self, report: UpstreamReport) -> list[Upstream]:
         """Return the upstreams that an incarnation replaces at its address."""
@@ -185,6 +188,7 @@
         It is available up to ``valid_until`` as if it had reported now, unless
         it is leaving.  Its clock is unknown, as with ``restore_stale``.
         """
+        self._record_address(report)
         self.by_id[report.upstream_id] = Upstream(
             report,
             now,
--- a/packages/jobs/src/persimmonyard/jobs/model.py
+++ b/packages/jobs/src/persimmonyard/jobs/model.py
@@ -106,6 +106,12 @@
     step: int
     task: int
 
+    def log_label(self) -> str:
+        """Return "task occurrence.step.task", or "gang occurrence.step"."""
+        if self.task == GANG_TASK:
+            return f"gang {self.occurrence}.{self.step}"
+        return f"task {self.occurrence}.{self.step}.{self.task}"
+
     def task_key(self, task: int) -> "TaskKey":
         """Return the key of one task of the unit."""
         return TaskKey(self.job_id, self.occurrence, self.step, task)
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -40,6 +40,8 @@
 # Attempts of jobs whose work class was configured neither at their acceptance
 # nor now.
 _FALLBACK_ATTEMPTS = 3
+# Reports of at most this many silent upstreams are kept.
+_MAX_SILENT_REPORTS = 1_000
 
 
 class UnitStatus(StrEnum):
@@ -137,6 +139,7 @@
     jobs: list[JobRecord]
     upstreams: list[UpstreamReport] = []
     crashes: list[UpstreamCrash] = []
+    silent_upstreams: list[UpstreamReport] = []
 
 
 class JobStore:
@@ -153,6 +156,8 @@
         # The last committed report of each upstream, without the fields that
         # change with every heartbeat.
         self.report_by_upstream: dict[str, UpstreamReport] = {}
+        # The last report of each upstream that is silent, by its address.
+        self.silent_report_by_address: dict[str, UpstreamReport] = {}
         self.seats_by_upstream: dict[str, dict[tuple[TaskKey, int], SeatRecord]] = {}
         self._route_by_name: dict[str, Route] = {}
         self._account_by_key: dict[str, str] = {}
@@ -171,6 +176,7 @@
             list(self.job_by_id.values()),
             list(self.report_by_upstream.values()),
             self._crash_accounting.recent_crashes(),
+            list(self.silent_report_by_address.values()),
         )
         return msgspec.msgpack.encode(snapshot_data)
 
@@ -183,6 +189,9 @@
         self.report_by_upstream = {
             report.upstream_id: report for report in snapshot_data.upstreams
         }
+        self.silent_report_by_address = {
+            report.address: report for report in snapshot_data.silent_upstreams
+        }
         self.seats_by_upstream = {}
         self._waiting = {}
         self._crash_accounting = CrashAccounting(self, snapshot_data.crashes)
@@ -238,7 +247,7 @@
                 return tuple(failed_ids)
             case ForgetUpstreams(upstream_ids):
                 for upstream_id in upstream_ids:
-                    self.report_by_upstream.pop(upstream_id, None)
+                    self._forget_upstream(upstream_id)
                 return True
 
     def _put_configuration(self, configuration: JobConfiguration) -> bool:
@@ -278,9 +287,23 @@
         for upstream_id, other in list(self.report_by_upstream.items()):
             if other.address == report.address:
                 del self.report_by_upstream[upstream_id]
+        self.silent_report_by_address.pop(report.address, None)
         self.report_by_upstream[report.upstream_id] = report
         return self._crash_accounting.record_incarnation(report, crashed, at_ms)
 
+    def _forget_upstream(self, upstream_id: str) -> None:
+        """Delete a report, and keep it apart unless the upstream was leaving.
+
+        If the upstream has crashed, its successor shows this later.
+        """
+        report = self.report_by_upstream.pop(upstream_id, None)
+        if report is None or report.leaving:
+            return
+        self.silent_report_by_address.pop(report.address, None)
+        self.silent_report_by_address[report.address] = report
+        if len(self.silent_report_by_address) > _MAX_SILENT_REPORTS:
+            del self.silent_report_by_address[next(iter(self.silent_report_by_address))]
+
     def _has_successor(self, report: UpstreamReport) -> bool:
         """Return whether a later upstream has reported from the address."""
         for other in self.report_by_upstream.values():
@@ -392,8 +415,8 @@
         if not record.is_active():
             return
         if unit.failures >= self.max_attempts(record) and not step.long_running:
-            name = key.task_key(key.task).log_label()
-            self.fail_job(record, f"task {name} failed {unit.failures} times", at_ms)
+            failure = f"{key.log_label()} failed {unit.failures} times"
+            self.fail_job(record, failure, at_ms)
             return
         self._waiting[key] = unit
 
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -224,7 +224,7 @@
         return self._core.leader_id if self._core is not None else ""
 
     def leader_contact_at(self) -> float | None:
-        """Return when another replica last led this one, or None if never.
+        """Return when a leader last led this replica, or None if never.
 
         The time is in seconds of the clock of leases.
         """
--- a/test/jobs/test_crashes.py
+++ b/test/jobs/test_crashes.py
@@ -264,6 +264,23 @@
         self.assertEqual([], self.crashes())
         self.assertTrue(self.store.job_by_id[JOB_ID].is_active())
 
+    def test_zone_that_is_down_for_long_counts_as_no_crash(self):
+        """Guards against an outage that is not seen because of idle upstreams.
+
+        Silent upstreams are removed from the registry before they are back.
+        """
+        self.submit(step())
+        names = [f"z1{number}" for number in range(4)]
+        for name in names:
+            self.report(name, rack=name)
+        self.place(names[0])
+        self.store.execute(ForgetUpstreams(tuple(f"{name}-1" for name in names)))
+        self.end()
+        self.restore()
+        for name in names:
+            self.restart(name, rack=name)
+        self.assertEqual([], self.crashes())
+
     def test_crashes_that_look_like_outages_end_a_job_in_time(self):
         """Guards against endless starts of a task that seems excused.
 
