Keep no lost seat of a run whose upstream restarted as announced

After a planned restart under the same identifier, the runs of the earlier incarnation end as lost. Their seats were kept as if it were unknown why the upstream was silent, and the next restart at the address, planned or not, counted as a crash under their tasks. A seat whose successor has reported is not kept. The new test failed before.

--- a/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
+++ b/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
@@ -73,6 +73,10 @@
         for crash in unit.crashes:
             if crash.run == unit.run and crash.upstream_id == seat.upstream_id:
                 return
+        for report in self._store.report_by_upstream.values():
+            if _is_predecessor(seat, report) and report.incarnation > seat.incarnation:
+                # Its successor has reported, so it is known how it ended.
+                return
         lost = LostSeat(
             seat.upstream_id, seat.incarnation, seat.address, unit.run, unit.placed_ms
         )
--- a/test/jobs/test_crashes.py
+++ b/test/jobs/test_crashes.py
@@ -281,6 +281,18 @@
             self.restart(name, rack=name)
         self.assertEqual([], self.crashes())
 
+    def test_planned_restart_counts_for_no_later_crash(self):
+        """Guards against a run that ends late after a planned restart."""
+        self.submit(step())
+        self.report("a")
+        self.place("a")
+        self.report("a", leaving=True)
+        self.restart("a")
+        self.end()
+        self.place("b")
+        self.restart("a")
+        self.assertEqual([], self.crashes())
+
     def test_crashes_that_look_like_outages_end_a_job_in_time(self):
         """Guards against endless starts of a task that seems excused.
 
