Wait for the restart to be committed in the test of a crashing job

The test read the state of the job right after the report of a restart, which is answered before it is committed, took it as still running and then waited for a start that could not come.

--- a/test/platform_adapter/test_end_to_end.py
+++ b/test/platform_adapter/test_end_to_end.py
@@ -333,7 +333,13 @@
             self.upstream = self.upstream_client.add("u1")
             self.upstream.incarnation = born
             await self.send_report(born=born)
-            if await self.read_state() == "failed":
+            # The report is answered before the restart is committed.
+            async with asyncio.timeout(20.0):
+                while not self.upstream.started:
+                    if await self.read_state() == "failed":
+                        break
+                    await asyncio.sleep(0.02)
+            if not self.upstream.started:
                 break
         self.assertEqual("failed", await self.read_state())
         self.assertLessEqual(born - 1, 5)
