--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -50,8 +50,9 @@
 )
 from persimmonyard.jobs.planner import Plan, Planner, Preemption
 from persimmonyard.jobs.preemption import RunProgress
+from persimmonyard.jobs.records import JobRecord, SeatRecord, Unit, UnitStatus
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
-from persimmonyard.jobs.store import JobRecord, JobStore, SeatRecord, Unit, UnitStatus
+from persimmonyard.jobs.store import JobStore
 
 __all__ = [
     "GANG_TASK",
--- a/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
+++ b/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
@@ -18,9 +18,10 @@
 )
 from persimmonyard.jobs.fleet import UpstreamReport
 from persimmonyard.jobs.model import UnitKey
+from persimmonyard.jobs.records import JobRecord, Unit
 
 if TYPE_CHECKING:
-    from persimmonyard.jobs.store import JobRecord, JobStore, Unit
+    from persimmonyard.jobs.store import JobStore
 
 __all__ = ["CrashAccounting"]
 
@@ -63,12 +64,12 @@
         """Return the recent crashes, for a snapshot."""
         return self._log.recent
 
-    def index_lost_seats(self, key: UnitKey, unit: "Unit") -> None:
+    def index_lost_seats(self, key: UnitKey, unit: Unit) -> None:
         """Add the lost seats of a restored unit to the index."""
         for lost in unit.lost_seats:
             self._lost_keys_by_address.setdefault(lost.address, {})[key] = None
 
-    def record_lost(self, key: UnitKey, unit: "Unit", seat: Seat) -> None:
+    def record_lost(self, key: UnitKey, unit: Unit, seat: Seat) -> None:
         """Keep a lost seat until it is known why its upstream was silent."""
         for crash in unit.crashes:
             if crash.run == unit.run and crash.upstream_id == seat.upstream_id:
@@ -83,7 +84,7 @@
         unit.lost_seats = [*unit.lost_seats[1 - _MAX_LOST_SEATS :], lost]
         self.index_lost_seats(key, unit)
 
-    def clear_after_run(self, unit: "Unit", at_ms: int) -> None:
+    def clear_after_run(self, unit: Unit, at_ms: int) -> None:
         """Clear a unit that has run for long enough without a crash."""
         if not unit.crashes or at_ms - unit.placed_ms < _CLEARING_RUN_MS:
             return
@@ -262,7 +263,7 @@
         return True
 
 
-def _excuse(unit: "Unit", ended: set[tuple[str, int]]) -> None:
+def _excuse(unit: Unit, ended: set[tuple[str, int]]) -> None:
     """Excuse a unit for the crashes of some incarnations under it."""
     if unit.excused_runs >= _MAX_EXCUSED_RUNS:
         return
@@ -282,7 +283,7 @@
     return same_upstream or earlier.address == report.address
 
 
-def _has_seat(unit: "Unit", ended: _Incarnation) -> bool:
+def _has_seat(unit: Unit, ended: _Incarnation) -> bool:
     return any(_is_on(seat_record.seat, ended) for seat_record in unit.seats)
 
 
--- a/packages/jobs/src/persimmonyard/jobs/guarantees.py
+++ b/packages/jobs/src/persimmonyard/jobs/guarantees.py
@@ -1,7 +1,8 @@
 """Urgent jobs that are covered by the guarantee of their client account."""
 
 from persimmonyard.jobs.configuration import JobConfiguration
-from persimmonyard.jobs.store import JobRecord, JobStore
+from persimmonyard.jobs.records import JobRecord
+from persimmonyard.jobs.store import JobStore
 
 __all__ = ["GUARANTEED_WAIT_S", "GuaranteedJobs"]
 
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -15,13 +15,19 @@
     least_busy_fit,
 )
 from persimmonyard.jobs.commands import Placement, Seat
+from persimmonyard.jobs.crash_isolation import (
+    away_from_crashes,
+    limit_watched,
+    reserve_seats,
+)
 from persimmonyard.jobs.crashes import on_probation
 from persimmonyard.jobs.fleet import Fleet
 from persimmonyard.jobs.guarantees import GUARANTEED_WAIT_S, GuaranteedJobs
 from persimmonyard.jobs.model import GANG_TASK, Step, UnitKey
 from persimmonyard.jobs.preemption import Reservation, RunProgress, VictimSelector
+from persimmonyard.jobs.records import Unit
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
-from persimmonyard.jobs.store import JobStore, Unit
+from persimmonyard.jobs.store import JobStore
 from persimmonyard.jobs.waiting_queue import WaitingQueue, WaitingUnits
 
 __all__ = ["Plan", "Planner", "Preemption"]
@@ -45,9 +51,6 @@
 # together and must not delay the leader's heartbeats.
 _MAX_TASKS_PER_PLAN = 128
 _MS_PER_S = 1_000
-# At most one of this many upstreams is kept free of other work for a task that
-# may crash it, so that such tasks cannot take the capacity of all others.
-_UPSTREAMS_PER_WATCHED = 8
 
 
 class Preemption(NamedTuple):
@@ -111,7 +114,7 @@
         if not ready:
             return plan
         capacity_by_id = self._current_capacity(runs, now, wall_ms)
-        _limit_watched(capacity_by_id)
+        limit_watched(capacity_by_id)
         self._half_free = half_free(capacity_by_id)
         self._task_counts_by_step = {}
         victim_selector = VictimSelector(
@@ -132,7 +135,7 @@
                 seats = self._assign_unit(waiting, key, unit, candidates)
                 if seats:
                     if unit.starts_apart():
-                        _reserve_seats(seats, capacity_by_id)
+                        reserve_seats(seats, capacity_by_id)
                     plan.placements.append(Placement(key, unit.run + 1, tuple(seats)))
                     tasks_left -= len(seats)
                     continue
@@ -220,7 +223,7 @@
             ]
             found = others or found
         if unit.crashes:
-            found = _away_from_crashes(unit, found)
+            found = away_from_crashes(unit, found)
         return found
 
     def _assign_unit(
@@ -421,39 +424,6 @@
         return True
 
 
-def _limit_watched(capacity_by_id: dict[str, UpstreamCapacity]) -> None:
-    """Open the upstreams that are watched beyond the limit to other units."""
-    left = max(1, len(capacity_by_id) // _UPSTREAMS_PER_WATCHED)
-    for candidate in capacity_by_id.values():
-        candidate.watched = candidate.watched and left > 0
-        left -= candidate.watched
-
-
-def _away_from_crashes(
-    unit: Unit, candidates: list[UpstreamCapacity]
-) -> list[UpstreamCapacity]:
-    """Return the candidates that have not crashed under a unit, if any fits.
-
-    A unit that may be to blame also keeps away from others of its kind.
-    """
-    addresses = {crash.address for crash in unit.crashes}
-    elsewhere = [
-        candidate
-        for candidate in candidates
-        if candidate.upstream.report.address not in addresses
-    ]
-    unwatched = [candidate for candidate in elsewhere if not candidate.watched]
-    return unwatched or elsewhere or candidates
-
-
-def _reserve_seats(
-    seats: list[Seat], capacity_by_id: dict[str, UpstreamCapacity]
-) -> None:
-    """Keep other units off the upstreams of a unit in this plan."""
-    for seat in seats:
-        capacity_by_id[seat.upstream_id].reserved = True
-
-
 def _shape(waiting: WaitingUnits) -> tuple:
     """Return the properties that decide on which upstreams a task fits.
 
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -1,7 +1,6 @@
 """The replicated state machine of jobs: applies commands in log order."""
 
 from collections.abc import Iterator
-from enum import StrEnum
 
 import msgspec
 
@@ -16,26 +15,25 @@
     PlaceRuns,
     PutConfiguration,
     RunEnd,
-    Seat,
     SetZone,
     SubmitJob,
     decode_command,
 )
 from persimmonyard.jobs.configuration import JobConfiguration, Route
 from persimmonyard.jobs.crash_accounting import CrashAccounting
-from persimmonyard.jobs.crashes import Crash, LostSeat, UpstreamCrash, may_be_to_blame
+from persimmonyard.jobs.crashes import UpstreamCrash
 from persimmonyard.jobs.fleet import UpstreamReport
 from persimmonyard.jobs.model import (
     GANG_TASK,
     Job,
-    JobState,
     Step,
     TaskEnd,
     TaskKey,
     UnitKey,
 )
+from persimmonyard.jobs.records import JobRecord, SeatRecord, Unit, UnitStatus
 
-__all__ = ["JobRecord", "JobStore", "SeatRecord", "Unit", "UnitStatus"]
+__all__ = ["JobStore"]
 
 # Attempts of jobs whose work class was configured neither at their acceptance
 # nor now.
@@ -44,93 +42,6 @@
 _MAX_SILENT_REPORTS = 1_000
 
 
-class UnitStatus(StrEnum):
-    """Status of a unit."""
-
-    WAITING = "w"
-    PLACED = "p"
-    DONE = "d"
-
-
-class SeatRecord(msgspec.Struct):
-    """The seat of one task of a run; ``end`` is None until its end."""
-
-    seat: Seat
-    end: TaskEnd | None = None
-
-
-class Unit(msgspec.Struct):
-    """State of a unit.
-
-    ``run`` is the number of its last placement, made at ``placed_ms``, and
-    ``avoid`` lists the last 8 upstreams on which a run of it failed.
-    ``crashes`` are those of upstreams under it, and ``excused_runs`` counts
-    the runs with a crash that had another cause.  ``lost_seats`` are the last
-    seats on silent upstreams that may still turn out to have crashed.
-    """
-
-    status: UnitStatus = UnitStatus.WAITING
-    run: int = 0
-    failures: int = 0
-    checkpoint: str = ""
-    seats: list[SeatRecord] = []
-    avoid: list[str] = []
-    placed_ms: int = 0
-    crashes: list[Crash] = []
-    excused_runs: int = 0
-    lost_seats: list[LostSeat] = []
-
-    def is_done(self) -> bool:
-        """Return whether the unit needs no further run."""
-        return self.status == UnitStatus.DONE
-
-    def starts_apart(self) -> bool:
-        """Return whether the unit may crash the upstream that starts it."""
-        return bool(self.crashes) and may_be_to_blame(self.crashes)
-
-
-class JobRecord(msgspec.Struct):
-    """A job and the state of its units.
-
-    ``route`` is the route at acceptance, and ``begun`` is true once a unit
-    was placed.  ``open_by_step`` is the number of units that are not done, by
-    "occurrence.step".  ``ended_ms`` is when the job completed, failed or was
-    cancelled, or 0 before.  ``failure`` tells callers why it failed.
-    """
-
-    job: Job
-    route: Route | None
-    units: dict[UnitKey, Unit] = {}
-    open_by_step: dict[str, int] = {}
-    cancelled: bool = False
-    failed: bool = False
-    begun: bool = False
-    ended_ms: int = 0
-    failure: str = ""
-
-    def state(self) -> JobState:
-        """Return the state that callers see."""
-        if self.cancelled:
-            return JobState.CANCELLED
-        if self.failed:
-            return JobState.FAILED
-        if self.ended_ms:
-            return JobState.COMPLETED
-        return JobState.RUNNING if self.begun else JobState.QUEUED
-
-    def is_active(self) -> bool:
-        """Return whether units of the job may still be placed."""
-        return not self.ended_ms
-
-    def step_of(self, key: UnitKey) -> Step:
-        """Return the step of a unit."""
-        return self.job.steps[key.step]
-
-    def step_done(self, occurrence: int, step: int) -> bool:
-        """Return whether all tasks of a step are done."""
-        return self.open_by_step.get(f"{occurrence}.{step}") == 0
-
-
 class _Snapshot(msgspec.Struct):
     """The encoded form of the whole state."""
 
--- a/packages/jobs/src/persimmonyard/jobs/waiting_queue.py
+++ b/packages/jobs/src/persimmonyard/jobs/waiting_queue.py
@@ -5,8 +5,9 @@
 from persimmonyard.jobs.configuration import Route
 from persimmonyard.jobs.guarantees import GuaranteedJobs
 from persimmonyard.jobs.model import GANG_TASK, Step, UnitKey
+from persimmonyard.jobs.records import JobRecord, Unit
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
-from persimmonyard.jobs.store import JobRecord, JobStore, Unit
+from persimmonyard.jobs.store import JobStore
 
 __all__ = ["Slack", "WaitingQueue", "WaitingUnits", "core_equivalents"]
 
