Preempt nothing while upstreams still report to a new leader

A new leader that relies on no old report sees the fleet grow from nothing for about one report interval. Urgent work then stopped runs on the few upstreams that had reported, while idle ones were about to.

For one and a half intervals a term preempts only once nine tenths of the upstreams have valid reports. The new test fails without it.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -51,6 +51,11 @@
 _REMOVE_SILENT_AFTER_S = 60.0
 
 
+# A new leader waits this many report intervals for the upstreams to report
+# before it preempts runs.
+_REPORTS_AWAITED = 1.5
+
+
 class LeaderTerm:
     """The work and state of the control leader during one term.
 
@@ -87,6 +92,7 @@
         self.log = get_logger("jobs").bind(term=fence)
         self.fleet = Fleet(durations.report_valid_s)
         self._leader_contact_at = leader_contact_at
+        self._started_at = now()
         self._metrics = metrics
         # Set when a background task has failed; the process then replaces
         # this object by a new one.
@@ -298,6 +304,17 @@
             return False
         return upstream.report.zone not in self.store.zones_out
 
+    def may_preempt(self) -> bool:
+        """Return whether runs may be stopped to make room for other work.
+
+        In the first seconds of a term the fleet seems smaller than it is,
+        until the upstreams have reported to the new leader.
+        """
+        now = self.now()
+        if now - self._started_at > _REPORTS_AWAITED * self.durations.heartbeat_s:
+            return True
+        return self.fleet.is_mostly_known(now)
+
     def payload(self, task_run: TaskRun) -> str:
         """Return the payload that the caller submitted with the job."""
         return self.store.job_by_id[task_run.task_key.job_id].job.payload
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
@@ -76,7 +76,10 @@
         started_at = time.perf_counter()
         runs = self._run_progress()
         plan = self._planner.plan(
-            self._term.now(), self._term.wall_clock.now_ms(), runs
+            self._term.now(),
+            self._term.wall_clock.now_ms(),
+            runs,
+            self._term.may_preempt(),
         )
         self._last_plan_s = time.perf_counter() - started_at
         if plan.truncated:
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -17,6 +17,8 @@
 # Age of the last report, in seconds, that is assumed for an upstream that has
 # not reported to this leader.
 _NEVER_SEEN_AGE_S = 1e6
+# Share of the upstreams with valid reports from which on the fleet is known.
+_KNOWN_SHARE = 0.9
 # A lease counts as expired this long after its end on the slowest clock, in
 # milliseconds.
 _LEASE_END_MARGIN_MS = 150
@@ -211,6 +213,20 @@
             return False
         return now - upstream.last_seen_at <= self._report_valid_s
 
+    def is_mostly_known(self, now: float) -> bool:
+        """Return whether the reports of nearly all upstreams are valid.
+
+        After a failover, upstreams report one after another to the new leader.
+        """
+        expected = 0
+        valid = 0
+        for upstream in self.by_id.values():
+            if upstream.gone or upstream.report.leaving:
+                continue
+            expected += 1
+            valid += self.is_report_valid(upstream, now)
+        return valid >= _KNOWN_SHARE * expected
+
     def remove_silent(
         self, silent_s: float, keep_ids: set[str], now: float
     ) -> list[str]:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -97,7 +97,11 @@
         return self._queue.next_due_ms
 
     def plan(
-        self, now: float, wall_ms: int, runs: dict[tuple[UnitKey, int], RunProgress]
+        self,
+        now: float,
+        wall_ms: int,
+        runs: dict[tuple[UnitKey, int], RunProgress],
+        may_preempt: bool = True,
     ) -> Plan:
         """Return the placements and preemptions for the caller to execute.
 
@@ -141,7 +145,9 @@
                     continue
                 if shape_is_decisive:
                     unplaceable_shapes.add(shape)
-                if self._preempt(waiting, key, candidates, victim_selector, plan):
+                if may_preempt and self._preempt(
+                    waiting, key, candidates, victim_selector, plan
+                ):
                     unplaceable_shapes.discard(shape)
                     continue
                 if (
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -15,6 +15,7 @@
     JobState,
     JobStore,
     PlaceRuns,
+    PutConfiguration,
     SubmitJob,
     TaskEnd,
 )
@@ -26,7 +27,7 @@
     clock_ms,
     wait_until,
 )
-from test.jobs.fixtures import JOB_ID, job, report, step
+from test.jobs.fixtures import JOB_ID, configuration, job, report, step
 
 
 class LeaderTermTests(unittest.IsolatedAsyncioTestCase):
@@ -385,6 +386,35 @@
         second.report("u1", sequence=3, gpu=2)
         await wait_until(lambda: len(upstream.started) == 2)
 
+    async def test_new_leader_preempts_nothing_before_upstreams_report(self):
+        """Guards against stopped runs while idle upstreams are unknown.
+
+        Only one of two upstreams has reported to the new leader.
+        """
+        upstreams = FakeUpstreamClient()
+        busy, idle = upstreams.add("u1"), upstreams.add("u2")
+        first = await self.first_leader(upstreams)
+        await wait_until(lambda: busy.started)
+        first.report("u2")
+        await wait_until(lambda: len(first.store.report_by_upstream) == 2)
+        first.term.close()
+        long_ago = boottime_now() - DURATIONS.restored_report_s
+        second = await self.take_over(upstreams, first.store, long_ago)
+        second.report("u1", sequence=2)
+        urgent = "00000000000000b2"
+        # It has waited for so long that it would preempt at any cost.
+        submitted_ms = second.wall_clock.now_ms() - 60_000
+        urgent_job = job(
+            step(gpu=8), job_id=urgent, route="urgent", submitted_ms=submitted_ms
+        )
+        second.store.execute(PutConfiguration(configuration(2, guaranteed=8)))
+        await second.term.commit(SubmitJob(urgent_job))
+        await asyncio.sleep(0.3)
+        self.assertEqual([JOB_ID], [key.job_id for key in busy.running])
+        second.report("u2", sequence=2)
+        await wait_until(lambda: idle.started)
+        self.assertEqual([JOB_ID], [key.job_id for key in busy.running])
+
     async def test_new_leader_starts_nothing_on_an_upstream_that_left(self):
         """Guards against a departure that only the previous leader knows."""
         upstreams = FakeUpstreamClient()
