--- a/review/lib/yard.py
+++ b/review/lib/yard.py
@@ -893,6 +893,10 @@
 
     async def play() -> str:
         yard = Yard(record, relayed)
+        task = asyncio.current_task()
+        assert task is not None
+        # The programs have to end with this process.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(112):
                 return await case(yard, trouble)
@@ -905,7 +909,7 @@
         record.write("case", f"cannot run: {error}")
         print(f"cannot run: {error}")
         sys.exit(2)
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.write("case", f"cannot run: {traceback.format_exc()}")
         traceback.print_exc()
         sys.exit(2)
