--- a/review/lib/yard.py
+++ b/review/lib/yard.py
@@ -555,9 +555,15 @@
         for name, program in self.programs.items():
             if program.process is None:
                 continue
-            for link in Path(f"/proc/{program.process.pid}/fd").iterdir():
+            folder = f"/proc/{program.process.pid}/fd"
+            try:
+                links = os.listdir(folder)
+            except OSError:
+                # The process has ended.
+                continue
+            for link in links:
                 try:
-                    if os.readlink(link) == f"socket:[{inode}]":
+                    if os.readlink(f"{folder}/{link}") == f"socket:[{inode}]":
                         return name
                 except OSError:
                     continue
