--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,8 @@
 # Occurrences fall due before, during and after the cut.
 OCCURRENCES = 8
 INTERVAL_MS = 100
-MAX_CUTS = 14
+MAX_CUTS = 4
+DEPLOYMENTS = 3
 
 
 async def hand_in_and_cut(yard: Yard, trouble: bool) -> str:
@@ -32,17 +33,24 @@
     return job_id
 
 
-async def case(yard: Yard, trouble: bool) -> str:
-    """Cut the leader off, and look for occurrences that never start."""
+async def disturb(yard: Yard, trouble: bool) -> str:
+    """Cut the leader off a few times, and look for lost occurrences."""
     await yard.start(workers=3)
     for _ in range(MAX_CUTS):
         job_id = await hand_in_and_cut(yard, trouble)
-        started = {task for _, _, task, _ in yard.starts_of(job_id)}
-        if len(started) < OCCURRENCES:
-            break
-    else:
-        return ""
-    yard.record.write("case", f"{len(started)} of {OCCURRENCES} have started; waits")
+        if len(started_tasks(yard, job_id)) < OCCURRENCES:
+            return await judge(yard, job_id)
+    return ""
+
+
+def started_tasks(yard: Yard, job_id: str) -> set[str]:
+    """Return the names of the tasks of a job that have started."""
+    return {task for _, _, task, _ in yard.starts_of(job_id)}
+
+
+async def judge(yard: Yard, job_id: str) -> str:
+    """Ask for a job ``finish_s`` later; return how the rule was broken."""
+    yard.record.write("case", "not all occurrences have started; waits")
     await asyncio.sleep(BOUNDS["finish_s"])
     state = await yard.state(job_id)
     idle_since = yard.record.now()
@@ -50,11 +58,27 @@
         if yard.running(job_id) or state == "completed":
             return ""
         await asyncio.sleep(0.1)
-    started = {task for _, _, task, _ in yard.starts_of(job_id)}
+    missing = OCCURRENCES - len(started_tasks(yard, job_id))
     return (
         f"job {job_id} is shown as {state!r} and nothing of it runs; "
-        f"{OCCURRENCES - len(started)} tasks whose turn has come never started"
+        f"{missing} tasks whose turn has come never started"
     )
 
 
-run_case(__file__, case, relayed=True)
+async def case(yard: Yard, trouble: bool) -> str:
+    """Disturb up to three deployments, one after the other.
+
+    After some resets a control process waits up to a second before it opens a
+    connection again, and then another leader is elected in each cut.
+    """
+    for _ in range(DEPLOYMENTS):
+        attempt = Yard(yard.record, relayed=True)
+        try:
+            if broken := await disturb(attempt, trouble):
+                return broken
+        finally:
+            await attempt.close()
+    return ""
+
+
+run_case(__file__, case)
