Ignore heartbeat reports of programs that are no upstreams

Cause: the leader took each readable report as that of an upstream. One with an unknown start at a known address, or under a known identifier, ended all runs of the upstream there as lost, though its service was in no configuration.

Change: jobs/report_origin.py decides whether a report is an upstream's: its service is configured, or it is that of a known upstream whose service a later configuration removed. Other reports change nothing, and are counted and logged. Stored reports of such writers are left out by a new leader and deleted. The platform adapter refuses reports without a field that every upstream sends; these fields had defaults. This works because nothing of a report is used before the decision: fleet, registry, replacements and drains see accepted reports only.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -11,6 +11,7 @@
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.planning_loop import PlanningLoop
 from persimmonyard.daemon.jobs.replacements import Replacements
+from persimmonyard.daemon.jobs.report_filter import ReportFilter
 from persimmonyard.daemon.jobs.session import UpstreamSession
 from persimmonyard.daemon.jobs.task_run import RunState, TaskRun
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
@@ -105,6 +106,7 @@
             self._finish_failed_jobs,
             durations.silent_after_s,
         )
+        self._report_filter = ReportFilter(self.log, store, self.fleet, metrics)
         self.replacements = Replacements(self, self._upstream_registry)
         self.job_log = JobLog(self.log, store, self._estimator, metrics)
         self._expiry = Expiry(self)
@@ -117,7 +119,7 @@
         if self._leader_contact_at is not None:
             valid_until = self._leader_contact_at + self.durations.restored_report_s
         upstream_count = self._upstream_registry.restore(
-            self.durations.lease_ms, valid_until
+            self.durations.lease_ms, valid_until, self._report_filter.restores
         )
         run_count = 0
         for seats in list(self.store.seats_by_upstream.values()):
@@ -213,7 +215,9 @@
         return list(self._session_by_id.values())
 
     def observe(self, report: UpstreamReport) -> None:
-        """Process a heartbeat report of an upstream."""
+        """Process a heartbeat report; ignore it if it is not an upstream's."""
+        if not self._report_filter.accepts(report):
+            return
         upstream, new = self.fleet.observe(report, self.now())
         if new:
             self.log.info(
--- a/packages/daemon/src/persimmonyard/daemon/jobs/upstream_registry.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/upstream_registry.py
@@ -54,14 +54,23 @@
         self._changed_ids: set[str] = set()
         self._changes_pending = asyncio.Event()
 
-    def restore(self, lease_ms: int, valid_until: float) -> int:
+    def restore(
+        self,
+        lease_ms: int,
+        valid_until: float,
+        is_upstream: Callable[[UpstreamReport], bool],
+    ) -> int:
         """Add the committed upstreams to the fleet.
 
         Until they report to this leader, they get work up to ``valid_until``.
-        Returns the number of those that are not leaving.
+        Committed reports for which ``is_upstream`` is false are left out, and
+        ``run`` deletes them.  Returns the number of upstreams that are not
+        leaving.
         """
         available_count = 0
         for report in self._store.report_by_upstream.values():
+            if not is_upstream(report):
+                continue
             self._fleet.restore(report, lease_ms, self._now(), valid_until)
             available_count += not report.leaving
         return available_count
@@ -120,11 +129,15 @@
 
     async def _remove_silent_upstreams(self) -> None:
         silent_ids = []
-        for upstream_id in self._store.report_by_upstream:
+        for upstream_id, stored in self._store.report_by_upstream.items():
             upstream = self._fleet.by_id.get(upstream_id)
             if upstream is None or upstream.gone:
                 silent_ids.append(upstream_id)
                 continue
+            if upstream.report.incarnation < stored.incarnation:
+                # The stored report was left out of the fleet.
+                silent_ids.append(upstream_id)
+                continue
             silent_s = self._now() - upstream.last_seen_at
             if not upstream.report.leaving and silent_s > self._silent_after_s:
                 silent_ids.append(upstream_id)
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -58,6 +58,7 @@
 from persimmonyard.jobs.planner import Plan, Planner, Preemption
 from persimmonyard.jobs.preemption import RunProgress
 from persimmonyard.jobs.records import JobRecord, SeatRecord, Unit, UnitStatus
+from persimmonyard.jobs.report_origin import ReportOrigin, is_upstream_report
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
 from persimmonyard.jobs.store import JobStore
 
@@ -89,6 +90,7 @@
     "Planner",
     "Preemption",
     "PutConfiguration",
+    "ReportOrigin",
     "Route",
     "RunEnd",
     "RunProgress",
@@ -115,5 +117,6 @@
     "decide_without_leader",
     "decode_command",
     "encode_command",
+    "is_upstream_report",
     "job_problem",
 ]
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -46,6 +46,26 @@
     return CLOCK_MS + int(asyncio.get_running_loop().time() * 1_000)
 
 
+def foreign_report(generator):
+    """Return a report of a service that no configuration names.
+
+    It claims an identifier, address, incarnation and state at random, those of
+    the upstream ``u1`` included.
+    """
+    upstream_id = generator.choice(("u1", "x-77aa", "u2"))
+    return report(
+        upstream_id,
+        incarnation=generator.choice((0, 1, 2, 1_000_000)),
+        sequence=generator.choice((0, 2, 1_000_000)),
+        clock_ms=generator.choice((0, clock_ms(), clock_ms() + 1_000_000)),
+        leaving=generator.random() < 0.5,
+    )._replace(
+        service=generator.choice(("", "node-metrics")),
+        address=generator.choice(("u1:80", "x:80")),
+        zone=generator.choice(("z1", "z9")),
+    )
+
+
 @dataclass
 class FakeUpstream:
     """One incarnation of an upstream.
--- a/test/daemon/jobs/test_fuzz.py
+++ b/test/daemon/jobs/test_fuzz.py
@@ -19,6 +19,7 @@
     FakeUpstreamClient,
     InMemoryLeader,
     clock_ms,
+    foreign_report,
     wait_until,
 )
 from test.jobs.fixtures import job, step
@@ -146,7 +147,7 @@
         """Guards against duplicate runs and lost jobs under random faults.
 
         The faults are lost answers, delayed starts, silence and restarts of
-        upstreams, and a change of the leader.
+        upstreams, reports of other writers, and a change of the leader.
         """
         for seed in SEEDS:
             with self.subTest(seed=seed):
@@ -156,6 +157,7 @@
         oracle = Oracle()
         upstreams = FaultyUpstreamClient(seed, oracle)
         rng = random.Random(seed + 1_000)
+        writer_rng = random.Random(seed + 2_000)
         for upstream_id in UPSTREAMS:
             upstreams.add(upstream_id)
         leader = self.start_leader(upstreams, oracle, None, 1)
@@ -170,6 +172,7 @@
         for round_number in range(30):
             await asyncio.sleep(0.05)
             self.inject_fault(upstreams, leader, rng)
+            leader.term.observe(foreign_report(writer_rng))
             if round_number == 15:
                 leader.leading = False
                 leader.term.close()
--- a/test/platform_adapter/test_codec.py
+++ b/test/platform_adapter/test_codec.py
@@ -18,7 +18,10 @@
     "service": "svc",
     "address": "10.0.0.9:8080",
     "zone": "z1",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "cold_left_ms": 0,
     "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8},
     "labels": ["a", "r1-3"],
     "clock_ms": 482113,
@@ -148,10 +151,11 @@
         for change in ({"state": "sleeping"}, {"seq_no": "x"}, {"capacity": 3}):
             with self.subTest(change), self.assertRaises(BadBodyError):
                 decode_report("i-1", encode(REPORT | change), NOW_MS)
-        missing = dict(REPORT)
-        del missing["address"]
-        with self.assertRaises(BadBodyError):
-            decode_report("i-1", encode(missing), NOW_MS)
+        for name in REPORT.keys() - {"born"}:
+            missing = dict(REPORT)
+            del missing[name]
+            with self.subTest(missing=name), self.assertRaises(BadBodyError):
+                decode_report("i-1", encode(missing), NOW_MS)
         with self.assertRaises(BadBodyError):
             decode_report("i-1", b"\xff\xfe", NOW_MS)
 
