Start and supervise runs for applied changes, not for their proposer

Cause: a LeaderTerm that is closed because its lease lapsed leaves proposals in the log. A placement that is committed after the next LeaderTerm of the same term of the log has taken over the open seats belonged to nobody: the coroutine that would have started its run was cancelled with its term.

Change: JobStore tells observers which runs were placed and ended and which jobs ended. run_supervisor.py acts on that: it starts what this term has planned, asks the upstream about other placements, and does what follows from ends. The take-over at the start of a term uses the same code. This works because every open seat is supervised from the moment its placement is applied, whoever proposed it.

A second fault of this shape: a placement that the state ignored, behind a pending one of the same run, was started all the same, where the state did not have it.

The in-memory leader commits in order and also for cancelled callers, as the log does. test_fuzz begins terms again. The explicit stops in tests moved with the function.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/draining.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/draining.py
@@ -44,14 +44,16 @@
         elsewhere.  Runs with checkpoints continue until shortly before the
         upstream leaves.
         """
-        session = self._term.find_session(upstream)
+        session = self._term.find_session(upstream.report.upstream_id)
         if session is None:
             return
         for task_run in list(session.task_run_by_key.values()):
             if not task_run.step.checkpoints and not self._ends_within(
                 task_run, remaining_s
             ):
-                self._term.stop_run(task_run.unit_key, task_run.run, "upstream leaves")
+                self._term.supervisor.stop_run(
+                    task_run.unit_key, task_run.run, "upstream leaves"
+                )
         await asyncio.sleep(
             max(0.0, remaining_s - self._term.durations.checkpoint_lead_s)
         )
@@ -59,7 +61,9 @@
             return
         for task_run in list(session.task_run_by_key.values()):
             if task_run.step.checkpoints:
-                self._term.stop_run(task_run.unit_key, task_run.run, "upstream leaves")
+                self._term.supervisor.stop_run(
+                    task_run.unit_key, task_run.run, "upstream leaves"
+                )
 
     def _ends_within(self, task_run: TaskRun, seconds: float) -> bool:
         """Return whether a run is expected to end within ``seconds``."""
--- a/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
@@ -39,7 +39,7 @@
     upstreams = {}
     now = term.now()
     for upstream_id, upstream in term.fleet.by_id.items():
-        session = term.find_session(upstream)
+        session = term.find_session(upstream.report.upstream_id)
         upstreams[upstream_id] = {
             "zone": upstream.report.zone,
             "incarnation": upstream.report.incarnation,
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -12,8 +12,9 @@
 from persimmonyard.daemon.jobs.planning_loop import PlanningLoop
 from persimmonyard.daemon.jobs.replacements import Replacements
 from persimmonyard.daemon.jobs.report_filter import ReportFilter
+from persimmonyard.daemon.jobs.run_supervisor import RunSupervisor
 from persimmonyard.daemon.jobs.session import UpstreamSession
-from persimmonyard.daemon.jobs.task_run import RunState, TaskRun
+from persimmonyard.daemon.jobs.task_run import TaskRun
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
 from persimmonyard.daemon.jobs.upstream_guard import UpstreamGuard
 from persimmonyard.daemon.jobs.upstream_registry import UpstreamRegistry
@@ -23,19 +24,15 @@
     Command,
     EndRuns,
     Fleet,
-    JobRecord,
     JobStore,
     RunEnd,
     RunTimeEstimator,
     TaskEnd,
-    TaskKey,
     Unit,
-    UnitKey,
     Upstream,
     UpstreamHealth,
     UpstreamReport,
 )
-from persimmonyard.model import Resources
 from persimmonyard.replication import NotLeaderError, OutcomeUnknownError, boottime_now
 
 __all__ = ["LeaderTerm"]
@@ -103,12 +100,13 @@
             propose,
             now,
             wall_clock,
-            self._finish_failed_jobs,
+            self._log_failed_jobs,
             durations.silent_after_s,
         )
         self._report_filter = ReportFilter(self.log, store, self.fleet, metrics)
         self.replacements = Replacements(self, self._upstream_registry)
         self.job_log = JobLog(self.log, store, self._estimator, metrics)
+        self.supervisor = RunSupervisor(self)
         self._expiry = Expiry(self)
         self._session_by_id: dict[str, UpstreamSession] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -121,11 +119,7 @@
         upstream_count = self._upstream_registry.restore(
             self.durations.lease_ms, valid_until, self._report_filter.restores
         )
-        run_count = 0
-        for seats in list(self.store.seats_by_upstream.values()):
-            for (task_key, run), seat_record in list(seats.items()):
-                self._inherit_run(task_key, run, seat_record.seat)
-                run_count += 1
+        run_count = self.supervisor.take_over()
         self.log.info(
             "leadership begins",
             jobs=len(self.store.job_by_id),
@@ -139,6 +133,7 @@
     def close(self) -> None:
         """Cancel all tasks of this term."""
         self._closed = True
+        self.supervisor.close()
         for task in list(self._tasks):
             task.cancel()
         self.log.info("leadership ends", sessions=len(self._session_by_id))
@@ -163,39 +158,12 @@
             self.log.info("leadership lost", error=str(error))
             return
         if error is not None:
-            self.log.error("task failed", exc_info=error)
-            self.failed = True
-
-    def _inherit_run(self, task_key: TaskKey, run: int, seat: Any) -> None:
-        """Supervise a run that a previous leader placed."""
-        report = UpstreamReport(
-            seat.upstream_id,
-            seat.incarnation,
-            -1,
-            "",
-            seat.address,
-            seat.zone,
-            "",
-            (),
-            Resources(0, 0, 0),
-            0,
-        )
-        now = self.now()
-        self.fleet.restore_stale(report, self.durations.lease_ms, now)
-        record = self.store.job_by_id[task_key.job_id]
-        step = record.job.steps[task_key.step]
-        key = task_key.unit_key(step.gang)
-        task_run = TaskRun(
-            task_key, run, key, step, RunState.INHERITED, now, inherited=True
-        )
-        session = self.session(self.fleet.by_id[seat.upstream_id])
-        session.add(task_run)
-        unit = record.units[key]
-        broken = not unit.completed and any(
-            seat_record.end not in (None, TaskEnd.DONE) for seat_record in unit.seats
-        )
-        if not record.is_active() or broken:
-            session.stop(task_run, "job has ended" if not broken else "gang is broken")
+            self.fail(error)
+
+    def fail(self, error: BaseException) -> None:
+        """Log an unexpected error; the process then replaces this term."""
+        self.log.error("task failed", exc_info=error)
+        self.failed = True
 
     def session(self, upstream: Upstream) -> UpstreamSession:
         """Return the session of an upstream; create it if there is none."""
@@ -206,9 +174,9 @@
             self._session_by_id[upstream_id] = session
         return session
 
-    def find_session(self, upstream: Upstream) -> UpstreamSession | None:
+    def find_session(self, upstream_id: str) -> UpstreamSession | None:
         """Return the session of an upstream, or None."""
-        return self._session_by_id.get(upstream.report.upstream_id)
+        return self._session_by_id.get(upstream_id)
 
     def sessions(self) -> list[UpstreamSession]:
         """Return all sessions of this term."""
@@ -238,14 +206,12 @@
         self._upstream_registry.record(upstream.report)
         self.request_plan()
 
-    def _finish_failed_jobs(self, job_ids: tuple[str, ...]) -> None:
-        """Log jobs with a task that crashes upstreams, and stop their runs."""
+    def _log_failed_jobs(self, job_ids: tuple[str, ...]) -> None:
+        """Log jobs with a task that crashes upstreams."""
         for job_id in job_ids:
             record = self.store.job_by_id[job_id]
             self.record_event("given_up")
             self.log.warning("job given up", job=job_id, reason=record.failure)
-            self.job_log.log_end(record)
-            self.stop_job(job_id, str(record.state()))
 
     async def commit_departure(self, report: UpstreamReport) -> None:
         """Commit the departure of an upstream if it is leaving."""
@@ -341,33 +307,19 @@
         self.record_event("stale_fence")
         self.log.warning("fence refused", upstream=upstream.report.upstream_id)
 
-    async def record_ends(self, session: UpstreamSession, ends: list[RunEnd]) -> None:
-        """Commit ends, log them and stop the runs that became useless."""
-        active_jobs = self._active_jobs(ends)
+    async def commit_ends(self, ends: list[RunEnd]) -> None:
+        """Commit ends of runs; what follows is done once they are applied."""
         await self.propose(EndRuns(tuple(ends), self.wall_clock.now_ms()))
-        for record in active_jobs:
-            if not record.is_active():
-                self.job_log.log_end(record)
-        upstream_id = session.upstream.report.upstream_id
-        for end in ends:
-            task_key = end.key.task_key(end.task)
-            task_run = session.task_run_by_key.pop((task_key, end.run), None)
-            if task_run is None:
-                continue
-            self._record_end(task_run, end, upstream_id)
-            self._stop_related_runs(end)
-        self.request_plan()
 
-    def _active_jobs(self, ends: list[RunEnd]) -> list[JobRecord]:
-        """Return the jobs that have not ended yet, of the given run ends."""
-        record_by_id: dict[str, JobRecord] = {}
-        for end in ends:
-            record = self.store.job_by_id.get(end.key.job_id)
-            if record is not None and record.is_active():
-                record_by_id[end.key.job_id] = record
-        return list(record_by_id.values())
-
-    def _record_end(self, task_run: TaskRun, end: RunEnd, upstream_id: str) -> None:
+    def record_end(self, end: RunEnd, upstream_id: str) -> None:
+        """Log an applied end and stop supervising the run."""
+        session = self._session_by_id.get(upstream_id)
+        if session is None:
+            return
+        task_key = end.key.task_key(end.task)
+        task_run = session.task_run_by_key.pop((task_key, end.run), None)
+        if task_run is None:
+            return
         now = self.now()
         self._metrics.record_end(str(end.end))
         record = self.store.job_by_id.get(end.key.job_id)
@@ -406,61 +358,6 @@
                     "upstream avoided", upstream=upstream_id, pause_s=avoid_s
                 )
 
-    def _stop_related_runs(self, end: RunEnd) -> None:
-        """Stop the runs that became useless with the end of a task.
-
-        These are all runs of a job that failed or was cancelled, and the
-        other members of a gang that has not completed.
-        """
-        record = self.store.job_by_id.get(end.key.job_id)
-        if record is None:
-            return
-        if record.failed or record.cancelled:
-            self.stop_job(end.key.job_id, str(record.state()))
-            return
-        if record.units[end.key].completed:
-            self._stop_unanswered_starts(record.units[end.key], end)
-            return
-        if end.end != TaskEnd.DONE and record.step_of(end.key).gang:
-            self.stop_run(end.key, end.run, "gang is broken")
-
-    def _stop_unanswered_starts(self, unit: Unit, end: RunEnd) -> None:
-        """Stop the members of a completed gang whose starts got no answer.
-
-        Otherwise their starts would be sent again.
-        """
-        for seat_record in unit.seats:
-            session = self._session_by_id.get(seat_record.seat.upstream_id)
-            if seat_record.end is not None or session is None:
-                continue
-            task_key = end.key.task_key(seat_record.seat.task)
-            task_run = session.task_run_by_key.get((task_key, end.run))
-            if task_run is not None and task_run.state == RunState.STARTING:
-                session.stop(task_run, "gang has completed")
-
-    def stop_job(self, job_id: str, reason: str) -> None:
-        """Stop all runs of a job."""
-        record = self.store.job_by_id.get(job_id)
-        if record is None:
-            return
-        for key, unit in record.units.items():
-            if unit.seats:
-                self.stop_run(key, unit.run, reason)
-
-    def stop_run(self, key: UnitKey, run: int, reason: str) -> None:
-        """Stop the tasks of a run that have not ended."""
-        unit = self.store.job_by_id[key.job_id].units[key]
-        if unit.run != run:
-            return
-        for seat_record in unit.seats:
-            session = self._session_by_id.get(seat_record.seat.upstream_id)
-            if seat_record.end is not None or session is None:
-                continue
-            task_key = key.task_key(seat_record.seat.task)
-            task_run = session.task_run_by_key.get((task_key, run))
-            if task_run is not None:
-                session.stop(task_run, reason)
-
     def stop_stalled_runs(self, session: UpstreamSession) -> None:
         """Stop stalled runs on an upstream, so that they are placed again."""
         now = self.now()
@@ -470,7 +367,7 @@
             self.record_event("stalled")
             upstream = session.upstream
             upstream.avoid(now + _STALLED_AVOID_S)
-            self.stop_run(task_run.unit_key, task_run.run, "stalled")
+            self.supervisor.stop_run(task_run.unit_key, task_run.run, "stalled")
 
     def forget_upstream(self, upstream_id: str) -> None:
         """Close the session of an upstream that was removed from the fleet."""
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
@@ -1,11 +1,10 @@
-"""The loop in which a leader plans placements and starts runs."""
+"""The loop in which a leader plans and commits placements."""
 
 import asyncio
 import contextlib
 import time
 from typing import TYPE_CHECKING
 
-from persimmonyard.daemon.jobs.task_run import RunState, TaskRun
 from persimmonyard.jobs import (
     Placement,
     PlaceRuns,
@@ -32,7 +31,9 @@
 
 
 class PlanningLoop:
-    """Plans after every event, commits the placements and starts the runs.
+    """Plans after every event and commits the placements.
+
+    The supervisor starts the runs once their placements are applied.
 
     The next plan begins after the placements of the last one are committed,
     so that it takes them into account.
@@ -88,12 +89,11 @@
             self._preempt(preemption)
         if not plan.placements:
             return
-        await self._term.propose(
-            PlaceRuns(tuple(plan.placements), self._term.wall_clock.now_ms())
-        )
+        with self._term.supervisor.committing(plan.placements):
+            await self._term.propose(
+                PlaceRuns(tuple(plan.placements), self._term.wall_clock.now_ms())
+            )
         self._log_placements(plan.placements)
-        for placement in plan.placements:
-            self._start_run(placement)
 
     def _log_placements(self, placements: list[Placement]) -> None:
         """Log one line per step with the seats of its tasks."""
@@ -130,31 +130,4 @@
     def _preempt(self, preemption: Preemption) -> None:
         self._term.record_event("preempted")
         reason = f"room for {preemption.for_unit.job_id}"
-        self._term.stop_run(preemption.key, preemption.run, reason)
-
-    def _start_run(self, placement: Placement) -> None:
-        """Start a run whose placement is committed."""
-        key = placement.key
-        record = self._term.store.job_by_id.get(key.job_id)
-        if record is None or record.units[key].run != placement.run:
-            return
-        if not record.units[key].seats:
-            return
-        now = self._term.now()
-        step = record.step_of(key)
-        for seat in placement.seats:
-            upstream = self._term.fleet.by_id[seat.upstream_id]
-            task_key = key.task_key(seat.task)
-            task_run = TaskRun(
-                task_key, placement.run, key, step, RunState.STARTING, now
-            )
-            session = self._term.session(upstream)
-            if upstream.report.incarnation != seat.incarnation:
-                # The upstream restarted while the placement was committed.
-                task_run.state = RunState.RUNNING
-                session.add(task_run)
-                session.stop(task_run, "upstream restarted")
-                continue
-            session.add(task_run)
-        if not record.is_active():
-            self._term.stop_run(key, placement.run, "job has ended")
+        self._term.supervisor.stop_run(preemption.key, preemption.run, reason)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/replacements.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/replacements.py
@@ -35,7 +35,7 @@
         Its report is committed first, so that runs on an upstream that has
         crashed count before their tasks are placed again.
         """
-        session = self._term.find_session(upstream)
+        session = self._term.find_session(upstream.report.upstream_id)
         predecessors = self._term.fleet.predecessors(upstream.report)
         if session is None and not predecessors:
             return
@@ -43,7 +43,7 @@
         if session is not None:
             silences += session.silences()
         for predecessor in predecessors:
-            earlier = self._term.find_session(predecessor)
+            earlier = self._term.find_session(predecessor.report.upstream_id)
             if earlier is not None:
                 silences += earlier.silences()
         self._term.spawn(
@@ -67,7 +67,7 @@
         for predecessor in predecessors:
             predecessor.gone = True
             self._term.record_event("crashed")
-            session = self._term.find_session(predecessor)
+            session = self._term.find_session(predecessor.report.upstream_id)
             if session is not None:
                 session.log_replacement(upstream.report)
                 await session.record_all_lost("another upstream started there")
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -183,8 +183,8 @@
             upstream=self._session.upstream.report.upstream_id,
             reason=reason,
         )
-        await self._term.record_ends(
-            self._session, [self._session.run_end(task_run, TaskEnd.REJECTED)]
+        await self._term.commit_ends(
+            [self._session.run_end(task_run, TaskEnd.REJECTED)]
         )
 
     async def _reject_unsent(self, task_run: TaskRun) -> None:
@@ -248,7 +248,5 @@
         if task_run.in_doubt:
             self._session.stop(task_run, "start refused after an unanswered start")
             return True
-        await term.record_ends(
-            self._session, [self._session.run_end(task_run, TaskEnd.REJECTED)]
-        )
+        await term.commit_ends([self._session.run_end(task_run, TaskEnd.REJECTED)])
         return True
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -150,7 +150,7 @@
                 ),
                 reason=reason,
             )
-            await self._term.record_ends(self, ends)
+            await self._term.commit_ends(ends)
 
     async def _poll_loop(self) -> None:
         while True:
@@ -331,7 +331,7 @@
                 if end is not None:
                     ends.append(end)
         if ends:
-            await self._term.record_ends(self, ends)
+            await self._term.commit_ends(ends)
         for ended in listing.ended:
             self._last_end_number = max(self._last_end_number, ended.number)
         self._term.stop_stalled_runs(self)
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from persimmonyard.jobs.capacity import charged_resources
+from persimmonyard.jobs.changes import Change, JobEnded, RunPlaced, TaskEnded
 from persimmonyard.jobs.commands import (
     Answer,
     CancelJob,
@@ -67,6 +68,7 @@
     "AccountSpec",
     "Answer",
     "CancelJob",
+    "Change",
     "ComeBack",
     "Command",
     "EndRuns",
@@ -76,6 +78,7 @@
     "InvalidCommandError",
     "Job",
     "JobConfiguration",
+    "JobEnded",
     "JobRecord",
     "JobState",
     "JobStore",
@@ -93,6 +96,7 @@
     "ReportOrigin",
     "Route",
     "RunEnd",
+    "RunPlaced",
     "RunProgress",
     "RunSilence",
     "RunTimeEstimator",
@@ -105,6 +109,7 @@
     "Step",
     "SubmitJob",
     "TaskEnd",
+    "TaskEnded",
     "TaskKey",
     "Unit",
     "UnitKey",
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -5,10 +5,11 @@
 gang; a job does not wait until the ends of all others are known.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
+from persimmonyard.jobs.changes import Change, JobEnded, RunPlaced, TaskEnded
 from persimmonyard.jobs.commands import (
     Answer,
     CancelJob,
@@ -66,6 +67,10 @@
 
     It is deterministic: the same commands in the same order lead to the same
     state.  It implements the state machine interface of the replicated log.
+
+    Observers get the changes that a command has made once it is executed, so
+    that what follows from it does not depend on who proposed it.  They are not
+    part of the state and must not raise errors.
     """
 
     def __init__(self) -> None:
@@ -82,6 +87,18 @@
         self._account_by_key: dict[str, str] = {}
         self._waiting: dict[UnitKey, Unit] = {}
         self._crash_accounting = CrashAccounting(self)
+        self._observers: list[Callable[[list[Change]], None]] = []
+        # The changes that the current command has made.
+        self._changes: list[Change] = []
+
+    def add_observer(self, observer: Callable[[list[Change]], None]) -> None:
+        """Call ``observer`` with the changes that each command makes."""
+        self._observers.append(observer)
+
+    def remove_observer(self, observer: Callable[[list[Change]], None]) -> None:
+        """Stop calling an observer; one that was not added is ignored."""
+        if observer in self._observers:
+            self._observers.remove(observer)
 
     def apply(self, index: int, entry: bytes) -> bool | tuple[str, ...]:
         """Apply a log entry; return the result of its command."""
@@ -134,6 +151,14 @@
         ``NoteUpstreams`` returns the identifiers of the jobs that it made
         fail, because a task of theirs crashes upstreams.
         """
+        self._changes = []
+        result = self._execute(command)
+        if self._changes:
+            for observer in list(self._observers):
+                observer(self._changes)
+        return result
+
+    def _execute(self, command: Command) -> bool | tuple[str, ...]:
         match command:
             case PutConfiguration(configuration):
                 return self._put_configuration(configuration)
@@ -298,6 +323,7 @@
 
     def _finish_job(self, record: JobRecord, at_ms: int) -> None:
         record.ended_ms = at_ms
+        self._changes.append(JobEnded(record.job.job_id))
         for key in record.units:
             self._waiting.pop(key, None)
 
@@ -315,6 +341,7 @@
         unit.seats = [SeatRecord(seat) for seat in placement.seats]
         for seat_record in unit.seats:
             self._index_seat(key, unit.run, seat_record)
+        self._changes.append(RunPlaced(key, unit.run))
 
     def _index_seat(self, key: UnitKey, run: int, seat_record: SeatRecord) -> None:
         task_key = key.task_key(seat_record.seat.task)
@@ -344,6 +371,7 @@
         self, record: JobRecord, end: RunEnd, unit: Unit, seat_record: SeatRecord
     ) -> None:
         seat_record.end = end.end
+        self._changes.append(TaskEnded(end, seat_record.seat.upstream_id))
         task_key = end.key.task_key(end.task)
         seats = self.seats_by_upstream[seat_record.seat.upstream_id]
         del seats[(task_key, unit.run)]
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -198,7 +198,8 @@
 class InMemoryLeader:
     """A leader's term on a job store without replication.
 
-    A commit takes ``commit_s``.
+    A commit takes ``commit_s``, in the order of the proposals and also if its
+    caller is cancelled, as in the replicated log.
     """
 
     def __init__(
@@ -211,16 +212,24 @@
         steady_clock=boottime_now,
         contact_at=None,
     ):
+        self.upstreams = upstreams
+        self.durations = durations
         self.wall_clock = SteadyWallClock(steady_clock, system_clock)
         self.store = store or JobStore()
         self.store.execute(PutConfiguration(configuration()))
         self.leading = True
         self.commit_s = 0.0
         self.proposed = []
-        self.term = LeaderTerm(
+        self.pending = []
+        self.commits = set()
+        self.commit_order = asyncio.Lock()
+        self.term = self.build_term(fence, contact_at)
+
+    def build_term(self, fence, contact_at=None):
+        return LeaderTerm(
             self.store,
-            upstreams,
-            durations,
+            self.upstreams,
+            self.durations,
             fence,
             self.propose,
             lambda: self.leading,
@@ -229,10 +238,29 @@
             leader_contact_at=contact_at,
         )
 
+    def begin_again(self):
+        """Replace the term by a new one in the same term of the log."""
+        self.term.close()
+        self.term = self.build_term(self.term.fence)
+        self.term.start()
+
     async def propose(self, command):
-        await asyncio.sleep(self.commit_s)
-        self.proposed.append(command)
-        return self.store.execute(command)
+        self.pending.append(command)
+        commit = asyncio.create_task(self._commit(command))
+        self.commits.add(commit)
+        commit.add_done_callback(self.commits.discard)
+        return await asyncio.shield(commit)
+
+    async def _commit(self, command):
+        async with self.commit_order:
+            await asyncio.sleep(self.commit_s)
+            self.pending.remove(command)
+            self.proposed.append(command)
+            return self.store.execute(command)
+
+    def is_pending(self, kind):
+        """Return whether a command of a class is not committed yet."""
+        return any(isinstance(command, kind) for command in self.pending)
 
     def report(self, name, **fields):
         self.term.observe(report(name, clock_ms=clock_ms(), **fields))
--- a/test/daemon/jobs/test_fuzz.py
+++ b/test/daemon/jobs/test_fuzz.py
@@ -147,7 +147,8 @@
         """Guards against duplicate runs and lost jobs under random faults.
 
         The faults are lost answers, delayed starts, silence and restarts of
-        upstreams, reports of other writers, and a change of the leader.
+        upstreams, reports of other writers, a change of the leader, and terms
+        that begin again while commands are being committed.
         """
         for seed in SEEDS:
             with self.subTest(seed=seed):
@@ -158,6 +159,7 @@
         upstreams = FaultyUpstreamClient(seed, oracle)
         rng = random.Random(seed + 1_000)
         writer_rng = random.Random(seed + 2_000)
+        lease_rng = random.Random(seed + 3_000)
         for upstream_id in UPSTREAMS:
             upstreams.add(upstream_id)
         leader = self.start_leader(upstreams, oracle, None, 1)
@@ -173,6 +175,10 @@
             await asyncio.sleep(0.05)
             self.inject_fault(upstreams, leader, rng)
             leader.term.observe(foreign_report(writer_rng))
+            leader.commit_s = lease_rng.uniform(0.0, 0.02)
+            if lease_rng.random() < 0.2:
+                leader.begin_again()
+                self.report_upstreams(leader, upstreams)
             if round_number == 15:
                 leader.leading = False
                 leader.term.close()
@@ -181,8 +187,9 @@
             if round_number == 20:
                 last = f"{JOBS - 1:016x}"
                 await leader.term.commit(CancelJob(last, 1))
-                leader.term.stop_job(last, "cancelled")
+                leader.term.supervisor.stop_job(last, "cancelled")
         upstreams.faults_stopped = True
+        leader.commit_s = 0.0
         upstreams.silent.clear()
         self.report_upstreams(leader, upstreams)
         await wait_until(lambda: self.all_ended(upstreams, leader), 60.0)
@@ -202,7 +209,7 @@
 
         leader.store.execute = execute_and_record
         leader.term.start()
-        self.addCleanup(leader.term.close)
+        self.addCleanup(lambda: leader.term.close())
         self.report_upstreams(leader, upstreams)
         return leader
 
