Stop the runs of a job when its cancel is applied

What callers saw: an entry was killed while 40 jobs were cancelled through it.

Cause: the handler of the call committed the cancel and then stopped the runs. gRPC cancels the handler with its connection, in between the two. The repeated cancel finds the job cancelled and stops nothing.

Change: RunSupervisor stops the runs when the store tells that a job was cancelled; the handler only waits for the commit. This works because every applied cancel is seen, whoever proposed it and whether the caller still waits.

Tests: 40 cancels with handlers cancelled at drawn moments, and a cancel of an ended term; both fail on the commit before. test_fuzz and test_leader_term no longer stop the runs themselves.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -167,7 +167,6 @@
             return CallReply(Outcome.NO_JOB)
         if record.is_active():
             await term.commit(CancelJob(job_id, term.wall_clock.now_ms()))
-            term.supervisor.stop_job(job_id, "cancelled")
         return CallReply(Outcome.OK, state=str(record.state()))
 
     def current_term(self) -> LeaderTerm:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_supervisor.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_supervisor.py
@@ -197,18 +197,15 @@
             self.stop_run(end.key, end.run, "gang is broken")
 
     def _finish_job(self, job_id: str) -> None:
-        """Log the end of a job, and stop its runs if it has failed."""
+        """Log the end of a job, and stop its runs unless it has completed."""
         record = self._store.job_by_id[job_id]
         if not record.cancelled:
             self._term.job_log.log_end(record)
-        if record.failed:
-            self.stop_job(job_id, str(record.state()))
-
-    def stop_job(self, job_id: str, reason: str) -> None:
-        """Stop all runs of a job."""
-        for key, unit in self._store.job_by_id[job_id].units.items():
+        if not record.failed and not record.cancelled:
+            return
+        for key, unit in record.units.items():
             if unit.seats:
-                self.stop_run(key, unit.run, reason)
+                self.stop_run(key, unit.run, str(record.state()))
 
     def stop_run(self, key: UnitKey, run: int, reason: str) -> None:
         """Stop the tasks of a run that have not ended."""
--- a/test/daemon/jobs/test_fuzz.py
+++ b/test/daemon/jobs/test_fuzz.py
@@ -187,7 +187,6 @@
             if round_number == 20:
                 last = f"{JOBS - 1:016x}"
                 await leader.term.commit(CancelJob(last, 1))
-                leader.term.supervisor.stop_job(last, "cancelled")
         upstreams.faults_stopped = True
         leader.commit_s = 0.0
         upstreams.silent.clear()
--- a/test/daemon/jobs/test_late_commands.py
+++ b/test/daemon/jobs/test_late_commands.py
@@ -8,7 +8,13 @@
 import random
 import unittest
 
+import msgspec
+
+from persimmonyard.daemon.jobs.job_service import JobService
+from persimmonyard.daemon.jobs.metrics import JobMetrics
+from persimmonyard.daemon.jobs.rpc import JobCall, Outcome, Verb
 from persimmonyard.jobs import (
+    CancelJob,
     EndRuns,
     JobState,
     Placement,
@@ -20,7 +26,7 @@
     UnitStatus,
 )
 from test.daemon.jobs.fakes import FakeUpstreamClient, InMemoryLeader, wait_until
-from test.jobs.fixtures import JOB_ID, WALL_MS, job, step
+from test.jobs.fixtures import JOB_ID, WALL_MS, job, needs, step
 
 SEEDS = range(30)
 
@@ -114,6 +120,55 @@
         await committed
         await wait_until(lambda: not self.other.running or not self.upstream.running)
 
+    async def test_runs_of_a_cancelled_job_stop_whenever_its_caller_leaves(self):
+        """Guards against tasks of a cancelled job that run on for good.
+
+        An entry dies, or its call times out, while the cancel is committed;
+        the moment is drawn.  The cancel that is sent again finds the job
+        cancelled.
+        """
+        generator = random.Random(7)
+        leader = self.start_leader()
+        service = JobService(leader.store, lambda: leader.term, JobMetrics())
+        leader.report("u1")
+        job_ids = [f"{number:016x}" for number in range(40)]
+        for job_id in job_ids:
+            small = msgspec.structs.replace(step(long_running=True), needs=needs(0))
+            await leader.propose(SubmitJob(job(small, job_id=job_id)))
+        leader.term.request_plan()
+        await wait_until(lambda: len(self.upstream.running) == len(job_ids))
+        leader.commit_s = 0.001
+        handlers = []
+        for job_id in job_ids:
+            call = JobCall(Verb.CANCEL, "h.example", f"/normal/{job_id}", "key-1")
+            handlers.append(asyncio.create_task(service.answer(call)))
+        while any(not handler.done() for handler in handlers):
+            generator.choice(handlers).cancel()
+            await asyncio.sleep(generator.uniform(0.0, 0.002))
+        leader.commit_s = 0.0
+        for job_id in job_ids:
+            call = JobCall(Verb.CANCEL, "h.example", f"/normal/{job_id}", "key-1")
+            reply = await service.answer(call)
+            self.assertEqual((Outcome.OK, "cancelled"), (reply.outcome, reply.state))
+        await wait_until(lambda: not self.upstream.running)
+        await wait_until(lambda: not leader.store.seats_by_upstream)
+
+    async def test_cancel_committed_by_an_ended_term_stops_the_job(self):
+        """Guards against a cancel whose stops are left to an ended term.
+
+        It is applied after the next term has taken over all runs.
+        """
+        leader = self.start_leader()
+        leader.report("u1")
+        await leader.term.commit(SubmitJob(job(step(long_running=True))))
+        await wait_until(lambda: self.upstream.running)
+        leader.commit_s = 0.1
+        cancelled = asyncio.create_task(leader.term.commit(CancelJob(JOB_ID, 1)))
+        await wait_until(lambda: leader.is_pending(CancelJob))
+        leader.begin_again()
+        await cancelled
+        await wait_until(lambda: not self.upstream.running)
+
     async def test_every_job_ends_whenever_the_term_begins_again(self):
         """Guards against work that is lost at one moment of a short cut.
 
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -263,7 +263,6 @@
         await self.submit(step(2))
         await self.wait_for_start(2)
         await self.leader.term.commit(CancelJob(JOB_ID, 1))
-        self.leader.term.supervisor.stop_job(JOB_ID, "cancelled")
         await wait_until(lambda: not self.upstream.running)
         await wait_until(lambda: not self.leader.store.seats_by_upstream)
 
@@ -422,7 +421,6 @@
 
         self.upstreams.stop = stop_when_allowed
         await self.leader.term.commit(CancelJob(JOB_ID, 1))
-        self.leader.term.supervisor.stop_job(JOB_ID, "cancelled")
         other = "00000000000000b2"
         await self.submit(step(gpu=4), job_id=other)
         await asyncio.sleep(0.3)
