Acknowledge ends only of the incarnation that listed them

What callers would see: a completed task runs again. Shown by a test only; the review suspected it by reading.

Cause: after the commit of the ends in a listing, the session set the number up to which ends are acknowledged, also if the upstream had restarted under its identifier meanwhile. The numbers of the new incarnation begin again, so its first ends were acknowledged unread, and the upstream forgot them.

Evidence: the test shows acknowledged end 3 at an incarnation without any end.

Change: the number is set only while the session has the incarnation of the listing.

Measured: the test fails before (0 != 3) and passes after.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -330,8 +330,12 @@
                 end = self._resolve_unlisted(task_run, sent_at)
                 if end is not None:
                     ends.append(end)
+        upstream = self.upstream
         if ends:
             await self._term.commit_ends(ends)
+        if upstream is not self.upstream:
+            # The numbers of a new incarnation begin again.
+            return
         for ended in listing.ended:
             self._last_end_number = max(self._last_end_number, ended.number)
         self._term.stop_stalled_runs(self)
--- a/test/daemon/jobs/test_late_commands.py
+++ b/test/daemon/jobs/test_late_commands.py
@@ -169,6 +169,33 @@
         await cancelled
         await wait_until(lambda: not self.upstream.running)
 
+    async def test_ends_of_a_new_incarnation_are_not_acknowledged_unread(self):
+        """Guards against an end that an upstream forgets before it is read.
+
+        The upstream restarts while ends of its earlier incarnation are being
+        committed, and its numbers of ends begin again.
+        """
+        leader = self.start_leader()
+        leader.report("u1")
+        await leader.term.commit(SubmitJob(job(step(3), step(1, depends_on=(0,)))))
+        await wait_until(lambda: len(self.upstream.running) == 3)
+        leader.commit_s = 0.2
+        for task_key in list(self.upstream.running):
+            self.upstream.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: leader.is_pending(EndRuns))
+        successor = self.upstreams.add("u1")
+        successor.incarnation = 2
+        leader.report("u1", incarnation=2)
+        await wait_until(lambda: not leader.is_pending(EndRuns))
+        leader.commit_s = 0.0
+        await wait_until(lambda: successor.running)
+        await wait_until(lambda: successor.leases)
+        self.assertEqual(0, successor.acknowledged_end)
+        successor.end(next(iter(successor.running)), TaskEnd.DONE)
+        record = leader.store.job_by_id[JOB_ID]
+        await wait_until(lambda: record.state() == JobState.COMPLETED)
+        self.assertEqual(1, len(successor.started))
+
     async def test_every_job_ends_whenever_the_term_begins_again(self):
         """Guards against work that is lost at one moment of a short cut.
 
