Replace a term whose lease has lapsed though it came back

What callers would see: nothing is placed, polled or registered any more while the leader goes on. Shown by a test only; the review suspected it by reading.

Cause: the loops of a term end when they see that the process does not lead, or when a proposal is refused.

Change: leads() and the end of a task with NotLeaderError or OutcomeUnknownError mark the term, and the process replaces it, which takes over all runs.

Measured: the test fails before (the term is not marked) and passes after.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -86,8 +86,8 @@
         self._leader_contact_at = leader_contact_at
         self._started_at = now()
         self._metrics = metrics
-        # Set when a background task has failed; the process then replaces
-        # this object by a new one.
+        # Set when a background task has failed or the lease has lapsed; the
+        # process then replaces this object by a new one.
         self.failed = False
         self.propose = propose
         self._estimator = RunTimeEstimator()
@@ -139,8 +139,23 @@
         self.log.info("leadership ends", sessions=len(self._session_by_id))
 
     def leads(self) -> bool:
-        """Return whether orders may be sent in this term."""
-        return not self._closed and self._leads()
+        """Return whether orders may be sent in this term.
+
+        A term whose lease has lapsed does not go on when it is back, because
+        its loops may have ended meanwhile; the process then replaces it.
+        """
+        if self._closed:
+            return False
+        if not self._leads():
+            self._record_loss("the lease has lapsed")
+            return False
+        return True
+
+    def _record_loss(self, reason: str) -> None:
+        """Log that this term is over unless that is known."""
+        if not self.failed:
+            self.log.info("leadership lost", error=reason)
+        self.failed = True
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine as a task that is cancelled when the term ends."""
@@ -155,7 +170,7 @@
             return
         error = task.exception()
         if isinstance(error, NotLeaderError | OutcomeUnknownError):
-            self.log.info("leadership lost", error=str(error))
+            self._record_loss(str(error))
             return
         if error is not None:
             self.fail(error)
--- a/test/daemon/jobs/test_late_commands.py
+++ b/test/daemon/jobs/test_late_commands.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -25,6 +26,7 @@
     TaskEnd,
     UnitStatus,
 )
+from persimmonyard.replication import NotLeaderError, OutcomeUnknownError
 from test.daemon.jobs.fakes import FakeUpstreamClient, InMemoryLeader, wait_until
 from test.jobs.fixtures import JOB_ID, WALL_MS, job, needs, step
 
@@ -196,6 +198,25 @@
         await wait_until(lambda: record.state() == JobState.COMPLETED)
         self.assertEqual(1, len(successor.started))
 
+    async def test_term_ends_with_its_lease_though_it_comes_back(self):
+        """Guards against a term whose loops have ended while it goes on.
+
+        The lease lapses for less than the interval at which the process looks
+        at it; a loop that sees this ends, or a proposal of it is refused.
+        """
+        leader = self.start_leader()
+        leader.report("u1")
+        leader.leading = False
+        self.assertFalse(leader.term.leads())
+        leader.leading = True
+        self.assertTrue(leader.term.failed)
+        for number, refused in enumerate((NotLeaderError(""), OutcomeUnknownError(""))):
+            leader.begin_again()
+            leader.term.propose = mock.AsyncMock(side_effect=refused)
+            leader.store.execute(SubmitJob(job(step(), job_id=f"{number:016x}")))
+            leader.report("u1", sequence=2 + number)
+            await wait_until(lambda: leader.term.failed)
+
     async def test_every_job_ends_whenever_the_term_begins_again(self):
         """Guards against work that is lost at one moment of a short cut.
 
