Let entries under steady traffic learn the members of the control group

Cause: an entry learned addresses only from replies to probes and NOT_LEADER, and there are none while one leader answers. It knew its first seeds alone and read the settings again on SIGHUP only.

Change: a client that gets answers asks the leader for the members every 2.5 s at most, and these replace the addresses known before. An entry that finds no leader reads a settings file again that has changed without a signal. Control processes take the members from their replica. This works because at least one of the members known at any time stays when instances are replaced one at a time.

Tests: two in test_leader_client, both fail before (TimeoutError; two addresses of former members are kept).

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -321,6 +321,7 @@
                     voters = self._replica.status().voters
                     self._log.info("member of the group", voters=list(voters))
                 member = True
+                self._leader_client.set_members(self._member_addresses())
                 await asyncio.sleep(_MEMBER_CHECK_INTERVAL_S)
                 continue
             member = False
@@ -379,11 +380,13 @@
 
     def _with_members(self, reply: CallReply) -> CallReply:
         leader = self._replica.leader_hint()
-        status = self._replica.status()
-        members = tuple(self.peer_address(name) for name in status.voters)
+        members = self._member_addresses()
         address = self.peer_address(leader) if leader else ""
         return msgspec.structs.replace(reply, leader=address, members=members)
 
+    def _member_addresses(self) -> tuple[str, ...]:
+        return tuple(self.peer_address(name) for name in self._replica.status().voters)
+
     async def _add_member(self, call: Join) -> CallReply:
         status = self._replica.status()
         if call.name in (*status.voters, *status.learners):
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -41,6 +41,7 @@
     ):
         self._settings_path = settings_path
         self._settings = settings
+        self._settings_changed_ns = 0
         self._build_apps = build_apps
         self._log = get_logger("entry")
         self._durations = derive_durations(settings.bounds)
@@ -99,6 +100,17 @@
         self.client.add_seeds(peer_seeds(settings))
         self._log.info("settings reloaded", seeds=settings.group.seeds)
 
+    def _reload_if_changed(self) -> None:
+        """Read the settings again if the file has changed without a signal."""
+        try:
+            changed_ns = self._settings_path.stat().st_mtime_ns
+        except OSError as error:
+            self._log.error("settings refused", reason=str(error))
+            return
+        if changed_ns != self._settings_changed_ns:
+            self._settings_changed_ns = changed_ns
+            self.reload()
+
     def ready(self) -> bool:
         """Return whether the load balancer should send callers here.
 
@@ -116,6 +128,9 @@
 
     async def _probe(self) -> None:
         leader_reached = await self.client.probe(_PROBE_TIMEOUT_S)
+        if not leader_reached:
+            # All control instances that are known here may have been replaced.
+            self._reload_if_changed()
         if leader_reached != self._leader_reached:
             self._log.info("readiness changed", leader_reached=leader_reached)
         self._leader_reached = leader_reached
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Iterable
 
 import grpc
 import msgspec
@@ -43,6 +44,9 @@
 # replaced, so the other processes are probed; a commit takes a few disk syncs
 # of 9 ms.
 _FAILOVER_DELAY_S = 0.3
+# A leader that answers calls is asked for the members this often, in seconds.
+# Control instances are replaced one at a time, with seconds in between.
+_MEMBERS_INTERVAL_S = 2.5
 # Delay before all known processes are tried again, in seconds.
 _RETRY_DELAY_S = 0.05
 # Connections that fail are replaced, so gRPC's own reconnects are limited.
@@ -60,10 +64,11 @@
 class LeaderClient:
     """Finds the leader among the control processes and sends calls to it.
 
-    ``seeds`` are gRPC addresses; replies add further ones.  A call of a caller
-    is rejected before its deadline once there has been no leader for about
-    ``failover_s`` seconds.  ``leader_seen_at`` is when a leader last answered,
-    in seconds of the monotonic clock.
+    ``seeds`` are gRPC addresses; replies add those of the members, and the
+    leader's members replace the ones before.  A call of a caller is rejected
+    before its deadline once there has been no leader for about ``failover_s``
+    seconds.  ``leader_seen_at`` is when a leader last answered, in seconds of
+    the monotonic clock.
 
     ``persimmonyard.daemon.entry.leader`` has another class of this name, for
     the entry role of the request service.
@@ -73,6 +78,7 @@
         self._failover_s = failover_s
         # When a call first found no leader, since the last answer of one.
         self._missed_since: float | None = None
+        self._seeds = list(seeds)
         self._known_addresses = list(seeds)
         self._leader = ""
         self._channel_by_address: dict[str, grpc.aio.Channel] = {}
@@ -81,17 +87,31 @@
         self.leader_seen_at = float("-inf")
         # The search for a new leader while the known one does not answer.
         self._search: asyncio.Task[None] | None = None
+        # When the leader was last asked for the members, and that call.
+        self._members_asked_at = float("-inf")
+        self._members_query: asyncio.Task[None] | None = None
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Add addresses of control processes that may lead."""
         for address in seeds:
+            if address not in self._seeds:
+                self._seeds.append(address)
+        self._add_addresses(seeds)
+
+    def set_members(self, addresses: Iterable[str]) -> None:
+        """Replace the known processes by the members and the seeds."""
+        self._known_addresses = list(dict.fromkeys([*addresses, *self._seeds]))
+
+    def _add_addresses(self, addresses: Iterable[str]) -> None:
+        for address in addresses:
             if address not in self._known_addresses:
                 self._known_addresses.append(address)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._search is not None:
-            self._search.cancel()
+        for task in (self._search, self._members_query):
+            if task is not None:
+                task.cancel()
         for channel in self._channel_by_address.values():
             await channel.close()
 
@@ -136,6 +156,7 @@
                     tried.discard(reply.leader)
                 continue
             self._record_leader(address)
+            self._ask_for_members(address)
             return reply
         return CallReply(Outcome.UNKNOWN if in_doubt else Outcome.NOT_LEADER)
 
@@ -185,9 +206,30 @@
         return random.choice(untried) if untried else None
 
     def _update_addresses(self, reply: CallReply) -> None:
-        self.add_seeds(list(reply.members))
-        if reply.outcome == Outcome.NOT_LEADER and reply.leader:
-            self._leader = reply.leader
+        if reply.outcome == Outcome.NOT_LEADER:
+            self._add_addresses(reply.members)
+            if reply.leader:
+                self._leader = reply.leader
+        elif reply.members:
+            self._members_asked_at = boottime_now()
+            self.set_members(reply.members)
+
+    def _ask_for_members(self, leader: str) -> None:
+        """Ask the leader for the members unless it was asked just now.
+
+        Its answers to calls of callers do not name them.
+        """
+        now = boottime_now()
+        if now < self._members_asked_at + _MEMBERS_INTERVAL_S:
+            return
+        if self._members_query is None or self._members_query.done():
+            self._members_asked_at = now
+            self._members_query = asyncio.create_task(self._query_members(leader))
+
+    async def _query_members(self, leader: str) -> None:
+        reply = await self._attempt(leader, Probe(), _ATTEMPT_TIMEOUT_S)
+        if reply is not None:
+            self._update_addresses(reply)
 
     def _record_leader(self, address: str) -> None:
         if self._leader != address or self.leader_seen_at == float("-inf"):
--- a/test/daemon/jobs/test_leader_client.py
+++ b/test/daemon/jobs/test_leader_client.py
@@ -65,6 +65,49 @@
         self.assertEqual(Outcome.INVALID, reply.outcome)
         self.assertEqual(channels, client._channel_by_address)
 
+    async def test_members_are_learned_from_a_leader_that_answers_calls(self):
+        """Guards against an entry that finds no leader for good.
+
+        One control process after another is replaced, the leader last, while
+        the leader answers calls all the time, whose answers name no members.
+        """
+        members = ()
+
+        async def lead(call, context):
+            if isinstance(call, Probe):
+                return CallReply(Outcome.OK, members=members)
+            return CallReply(Outcome.OK)
+
+        leader = grpc.aio.server()
+        leader.add_generic_rpc_handlers((call_handler(lead),))
+        port = leader.add_insecure_port("127.0.0.1:0")
+        await leader.start()
+        self.addAsyncCleanup(leader.stop, 0)
+        client = self.client(port)
+        self.assertEqual(Outcome.OK, (await client.call(SUBMIT_CALL, 5.0)).outcome)
+        members = (f"127.0.0.1:{await self.serve(lead)}",)
+        with mock.patch.object(leader_client, "_MEMBERS_INTERVAL_S", 0.0, create=True):
+            async with asyncio.timeout(CONNECT_DEADLINE_S):
+                while members[0] not in client._known_addresses:
+                    await client.call(SUBMIT_CALL, 5.0)
+        await leader.stop(0)
+        self.assertEqual(Outcome.OK, (await client.call(SUBMIT_CALL, 5.0)).outcome)
+
+    async def test_replaced_members_are_forgotten(self):
+        """Guards against calls that try each member that there ever was."""
+        port = 0
+
+        async def lead(call, context):
+            return CallReply(Outcome.OK, members=(f"127.0.0.1:{port}",))
+
+        port = await self.serve(lead)
+        client = self.client(port)
+        client._known_addresses += ["127.0.0.9:1", "127.0.0.9:2"]
+        async with asyncio.timeout(CONNECT_DEADLINE_S):
+            while not await client.probe(1.0):
+                pass
+        self.assertEqual([f"127.0.0.1:{port}"], client._known_addresses)
+
     async def test_call_that_was_not_sent_is_not_in_doubt(self):
         """Guards against the outcome "unknown" for a call that is not sent."""
         reserved_socket = bind_free_port()
