Refuse orders and calls that may have waited in a frozen process

Cause: the request waited in a socket of a frozen process. When the process woke, the time limit of the order, and that of a caller's call at an entry, began anew.

Change: a clock that ticks every 50 ms finds stalls of the event loop, and what is read right after one may be as old as the stall. That time is taken off the 0.8 s of an order and off the time that a caller waits; without any left nothing is passed on. This works because all that waited in the sockets is read within the time after a stall for which the clock counts it.

Tests: test_operator_service (stalls of 0.85 to 600 s refuse, those up to 0.35 s do not), test_end_to_end (an entry). They use the new clock, so they cannot run on the code before.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -32,6 +32,7 @@
     call_handler,
 )
 from persimmonyard.daemon.jobs.settings import JobSettings
+from persimmonyard.daemon.jobs.stall_clock import StallClock
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
 from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.daemon.logs import get_logger
@@ -96,7 +97,10 @@
         self._wall_clock = SteadyWallClock()
         self.service = JobService(self.store, lambda: self.leader_term, self._metrics)
         self._leader_client = LeaderClient([])
-        self.operators = OperatorService(self.service, self._leader_client)
+        self._stall_clock = StallClock()
+        self.operators = OperatorService(
+            self.service, self._leader_client, self._stall_clock
+        )
         self._build_app = build_app
         self._process_started_at = process_started_at
         self._durations = derive_durations(settings.bounds)
@@ -173,6 +177,7 @@
         await self._http.start()
         await self._start_inspection()
         self._leader_client.add_seeds(list(seed_addresses.values()))
+        self._background.start("stall clock", self._stall_clock.run)
         self._background.start("leadership", self._watch_leadership)
         self._background.start("membership", self._join_group)
         self._background.start("silent voters", self._remove_silent_voters)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from persimmonyard.daemon.background import BackgroundTasks
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.daemon.jobs.durations import derive_durations
 from persimmonyard.daemon.jobs.inspection import inspection_server
@@ -15,6 +16,7 @@
     load_job_settings,
     peer_seeds,
 )
+from persimmonyard.daemon.jobs.stall_clock import StallClock
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.model import UserError
 from persimmonyard.replication import boottime_now
@@ -50,6 +52,8 @@
         self.metrics.add_gauge(
             "ready", "1 if callers should be sent here.", lambda: self._leader_reached
         )
+        self.stall_clock = StallClock()
+        self._background = BackgroundTasks(self._log)
         self.stopping = False
         self._leader_reached = False
         self._probe_task: asyncio.Task | None = None
@@ -69,6 +73,7 @@
             addresses.metrics_port,
         )
         await self._inspection.start()
+        self._background.start("stall clock", self.stall_clock.run)
         self._log.info("listening", callers=addresses.callers)
 
     async def stop(self) -> None:
@@ -79,6 +84,7 @@
         await self._caller_server.stop()
         await self._readiness_server.stop()
         await self._inspection.stop()
+        self._background.cancel()
         await self.client.close()
 
     def _dump(self) -> dict[str, Any]:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/operator_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/operator_service.py
@@ -5,6 +5,8 @@
 answer, which a lossy network may drop as well.
 """
 
+from typing import Any
+
 from persimmonyard.daemon.jobs.job_service import JobService
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
 from persimmonyard.daemon.jobs.rpc import (
@@ -16,6 +18,7 @@
     Outcome,
     ZoneOrder,
 )
+from persimmonyard.daemon.jobs.stall_clock import StallClock
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.jobs import InvalidCommandError
 from persimmonyard.replication import (
@@ -26,30 +29,45 @@
 
 __all__ = ["OperatorService"]
 
-# Time for passing an order on, in seconds; operators call another process
-# after a second without a response.
-_FORWARD_TIMEOUT_S = 0.8
+# How old an order may be when the leader gets it, in seconds; operators call
+# another process after a second without a response.
+_ORDER_VALID_S = 0.8
 
 
 class OperatorService:
     """Executes operators' orders here or passes them on to the leader.
 
     All methods raise ``NotLeaderError`` if no leader has executed the order,
-    and ``OutcomeUnknownError`` if one may have.
+    and ``OutcomeUnknownError`` if one may have.  ``stall_clock`` tells how old
+    an order may be that has just been read.
     """
 
-    def __init__(self, job_service: JobService, leader_client: LeaderClient):
+    def __init__(
+        self,
+        job_service: JobService,
+        leader_client: LeaderClient,
+        stall_clock: StallClock,
+    ):
         self._job_service = job_service
         self._leader_client = leader_client
+        self._stall_clock = stall_clock
         self._log = get_logger("operators")
 
     async def execute(self, order: OperatorOrder) -> CallReply:
-        """Return the leader's reply, with outcome ``OK`` or a refusal."""
+        """Return the leader's reply, with outcome ``OK`` or a refusal.
+
+        An order whose operator may have left meanwhile is not executed: a
+        newer one may have been given to another process.
+        """
+        valid_s = _ORDER_VALID_S - self._stall_clock.longest_wait_s()
+        if valid_s <= 0:
+            _log_late(self._log, order, -valid_s)
+            raise NotLeaderError("")
         try:
             return await self._execute_here(order)
         except NotLeaderError:
             pass
-        reply = await self._leader_client.forward(order, _FORWARD_TIMEOUT_S)
+        reply = await self._leader_client.forward(order, valid_s)
         self._log.info(
             "order passed on",
             order=type(order).__name__,
@@ -69,11 +87,7 @@
         """
         late_s = boottime_now() - call.expires_at
         if late_s >= 0:
-            self._log.warning(
-                "late order refused",
-                order=type(call.order).__name__,
-                late_ms=int(late_s * 1_000),
-            )
+            _log_late(self._log, call.order, late_s)
             return CallReply(Outcome.NOT_LEADER)
         try:
             return await self._execute_here(call.order)
@@ -102,3 +116,11 @@
                     return CallReply(Outcome.NO_CONFIGURATION)
                 return CallReply(Outcome.OK, content=current.text)
         return CallReply(Outcome.OK)
+
+
+def _log_late(log: Any, order: OperatorOrder, late_s: float) -> None:
+    log.warning(
+        "late order refused",
+        order=type(order).__name__,
+        late_ms=int(late_s * 1_000),
+    )
--- a/test/daemon/jobs/test_odd_values.py
+++ b/test/daemon/jobs/test_odd_values.py
@@ -13,6 +13,7 @@
     Verb,
     ZoneOrder,
 )
+from persimmonyard.daemon.jobs.stall_clock import StallClock
 from persimmonyard.jobs import (
     InvalidCommandError,
     NoteUpstreams,
@@ -43,7 +44,7 @@
         self.service = JobService(
             self.leader.store, lambda: self.leader.term, JobMetrics()
         )
-        self.operators = OperatorService(self.service, LeaderClient([]))
+        self.operators = OperatorService(self.service, LeaderClient([]), StallClock())
 
     async def check_service(self):
         """Check that the term goes on and that a job is placed."""
--- a/test/daemon/jobs/test_operator_service.py
+++ b/test/daemon/jobs/test_operator_service.py
@@ -12,6 +12,7 @@
     Outcome,
     ZoneOrder,
 )
+from persimmonyard.daemon.jobs.stall_clock import STALL_TICK_S, StallClock
 from persimmonyard.jobs import JobStore, SetZone
 from persimmonyard.replication import (
     NotLeaderError,
@@ -30,6 +31,7 @@
 
     async def forward(self, order, within_s):
         self.orders.append(order)
+        self.within_s = within_s
         return self.reply
 
 
@@ -40,7 +42,15 @@
     def build(self, term, outcome=Outcome.NOT_LEADER):
         service = JobService(self.leader.store, lambda: term, JobMetrics())
         self.client = FakeLeaderClient(outcome)
-        return OperatorService(service, self.client)
+        self.clock_s = 100.0
+        self.stall_clock = StallClock(lambda: self.clock_s)
+        return OperatorService(service, self.client, self.stall_clock)
+
+    def run_for(self, seconds):
+        """Let the clock tick as it does while the process runs."""
+        for _ in range(round(seconds / STALL_TICK_S)):
+            self.clock_s += STALL_TICK_S
+            self.stall_clock.tick()
 
     async def test_order_after_its_expiry_is_not_executed(self):
         """Guards against an order that was delayed on its way to the leader.
@@ -57,6 +67,43 @@
         self.assertEqual(Outcome.OK, reply.outcome)
         self.assertEqual([SetZone("z1", True)], self.leader.proposed)
 
+    async def test_order_that_waited_during_a_stall_is_not_executed(self):
+        """Guards against a withdrawn order that a frozen process applies late.
+
+        The order waited in a socket; its operator has called another process
+        since, and may have given the opposite order there.
+        """
+        for term, ticked in ((self.leader.term, True), (None, True), (None, False)):
+            for stall_s in (0.85, 7.0, 600.0):
+                operators = self.build(term, Outcome.OK)
+                self.run_for(1.0)
+                self.clock_s += stall_s
+                if ticked:
+                    self.stall_clock.tick()
+                    self.run_for(min(0.5, stall_s / 2))
+                with self.assertRaises(NotLeaderError):
+                    await operators.execute(ZoneOrder("z1", False))
+                self.assertNotIn(SetZone("z1", False), self.leader.proposed)
+                self.assertEqual([], self.client.orders)
+                self.run_for(1.5)
+                reply = await operators.execute(ZoneOrder("z1", True))
+                self.assertEqual(Outcome.OK, reply.outcome)
+
+    async def test_short_stall_refuses_no_order(self):
+        """Guards against refusals on a machine that is only busy.
+
+        The time for which the order may have waited is taken off the time in
+        which it may reach the leader.
+        """
+        for stall_s in (0.05, 0.2, 0.35):
+            for later_s in (0.0, 0.1, 0.3, 0.6):
+                operators = self.build(None, Outcome.OK)
+                self.run_for(1.0)
+                self.clock_s += stall_s
+                self.run_for(later_s)
+                await operators.execute(ZoneOrder("z1", True))
+                self.assertLessEqual(self.client.within_s, 0.8)
+
     async def test_passed_on_order_is_not_passed_on_again(self):
         """Guards against orders that circulate between two processes."""
         operators = self.build(None, Outcome.OK)
--- a/test/platform_adapter/test_end_to_end.py
+++ b/test/platform_adapter/test_end_to_end.py
@@ -265,6 +265,23 @@
         await asyncio.sleep(0.3)
         self.assertEqual([], self.upstream.started)
 
+    async def test_job_that_waited_in_a_frozen_entry_is_not_passed_on(self):
+        """Guards against a job that runs after its cancel was answered.
+
+        Its caller got no answer in time and has cancelled it at another entry,
+        before the first one woke and read the job.
+        """
+        cancelled = await self.call("DELETE", f"/p/{JOB_ID}")
+        self.assertEqual(410, cancelled.status_code)
+        with mock.patch.object(
+            self.entry.stall_clock, "longest_wait_s", return_value=7.0
+        ):
+            late = await self.caller.post(f"/p/{JOB_ID}", json=JOB_BODY)
+        self.assertEqual(503, late.status_code)
+        self.assertIn("retry-after", late.headers)
+        reply = await self.call("GET", f"/p/{JOB_ID}")
+        self.assertEqual(410, reply.status_code)
+
     async def test_configuration_is_read_back_unchanged_from_any_process(self):
         """Guards against a control process without the current configuration.
 
