--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_supervisor.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_supervisor.py
@@ -112,7 +112,7 @@
         seats = tuple(seat_record.seat for seat_record in unit.seats)
         state = RunState.STARTING
         if self._planned_seats.pop((key, run), None) != seats:
-            # Proposed before this term began, so a start may have been sent.
+            # Proposed by another term, which may have sent a start.
             state = RunState.INHERITED
             self._term.record_event("placement_taken_over")
             self._term.log.info(
