Refuse no configuration after a stall, and count no slow start as one

On the busy machine the event loop stalled for over 0.8 s; the clock also counted the time from its creation to the first tick.

Evidence: the log of that run has "late order refused" with late_ms 49 to 1898 for 19 configurations, and none for zones outside the tests of the refusal.

Change: only orders on zones are refused; a configuration that is out of date is told by its version. The clock begins when its loop does.

Tests: a configuration that waited 7 s is passed on, and a slow start is no stall.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/operator_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/operator_service.py
@@ -56,10 +56,13 @@
     async def execute(self, order: OperatorOrder) -> CallReply:
         """Return the leader's reply, with outcome ``OK`` or a refusal.
 
-        An order whose operator may have left meanwhile is not executed: a
-        newer one may have been given to another process.
+        An order on a zone whose operator may have left meanwhile is not
+        executed: a newer one may have been given to another process.  A
+        configuration has a version, which tells that it is out of date.
         """
-        valid_s = _ORDER_VALID_S - self._stall_clock.longest_wait_s()
+        valid_s = _ORDER_VALID_S
+        if isinstance(order, ZoneOrder):
+            valid_s -= self._stall_clock.longest_wait_s()
         if valid_s <= 0:
             _log_late(self._log, order, -valid_s)
             raise NotLeaderError("")
--- a/packages/daemon/src/persimmonyard/daemon/jobs/stall_clock.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/stall_clock.py
@@ -49,6 +49,8 @@
 
     async def run(self) -> None:
         """Tick until the task is cancelled."""
+        # The process has read nothing before.
+        self._ticked_at = self._now()
         while True:
             self.tick()
             await asyncio.sleep(STALL_TICK_S)
--- a/test/daemon/jobs/test_operator_service.py
+++ b/test/daemon/jobs/test_operator_service.py
@@ -1,5 +1,6 @@
 """Tests of operators' orders at a process that leads or does not lead."""
 
+import asyncio
 import unittest
 
 from persimmonyard.daemon.jobs.job_service import JobService
@@ -7,6 +8,7 @@
 from persimmonyard.daemon.jobs.operator_service import OperatorService
 from persimmonyard.daemon.jobs.rpc import (
     CallReply,
+    ConfigurationOrder,
     ConfigurationQuery,
     OperatorCall,
     Outcome,
@@ -20,6 +22,7 @@
     boottime_now,
 )
 from test.daemon.jobs.fakes import FakeUpstreamClient, InMemoryLeader
+from test.jobs.fixtures import configuration
 
 
 class FakeLeaderClient:
@@ -89,6 +92,26 @@
                 reply = await operators.execute(ZoneOrder("z1", True))
                 self.assertEqual(Outcome.OK, reply.outcome)
 
+    async def test_configuration_that_waited_is_passed_on(self):
+        """Guards against a configuration that a busy process refuses.
+
+        Its version tells whether it is out of date.
+        """
+        operators = self.build(None, Outcome.OK)
+        self.clock_s += 7.0
+        for order in (ConfigurationOrder(configuration(2)), ConfigurationQuery()):
+            reply = await operators.execute(order)
+            self.assertEqual(Outcome.OK, reply.outcome)
+
+    async def test_clock_counts_no_stall_before_it_runs(self):
+        """Guards against orders that are refused after a slow start."""
+        self.build(None)
+        self.clock_s += 7.0
+        ticking = asyncio.create_task(self.stall_clock.run())
+        await asyncio.sleep(0)
+        ticking.cancel()
+        self.assertEqual(0.0, self.stall_clock.longest_wait_s())
+
     async def test_short_stall_refuses_no_order(self):
         """Guards against refusals on a machine that is only busy.
 
