--- a/packages/daemon/src/persimmonyard/daemon/jobs/report_filter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/report_filter.py
@@ -36,7 +36,7 @@
         return False
 
     def restores(self, report: UpstreamReport) -> bool:
-        """Return whether a report in the replicated state is of an upstream.
+        """Return whether a report in the replicated state is an upstream's.
 
         Earlier versions stored the reports of other programs as well.
         """
