--- /dev/null
+++ b/packages/estimation/src/persimmonyard/estimation/__init__.py
@@ -0,0 +1,7 @@
+"""Figures learned from observations: speeds, run times, interference.
+
+Nothing here knows jobs, a store, a clock or the network.  Times are passed in,
+in seconds of a monotonic clock, and the state is bounded.
+"""
+
+__all__: list[str] = []
