--- /dev/null
+++ b/packages/jobs/src/persimmonyard/jobs/seating.py
@@ -0,0 +1,258 @@
+"""The choice of seats for units on the free capacity of one plan.
+
+Load pattern: some upstreams fail what they start while many gangs arrive.
+Such upstreams are the empty ones, which gangs of large tasks need, and one of
+them breaks a whole gang.  So work is placed without them if there is room, and
+with them otherwise.
+"""
+
+from collections.abc import Iterable
+
+from persimmonyard.jobs.capacity import (
+    UpstreamCapacity,
+    charged_resources,
+    free_accelerators,
+    half_free,
+    least_busy_fit,
+)
+from persimmonyard.jobs.commands import Seat
+from persimmonyard.jobs.crash_isolation import rank_for_suspect
+from persimmonyard.jobs.guarantees import GUARANTEED_WAIT_S
+from persimmonyard.jobs.model import GANG_TASK, Step, UnitKey
+from persimmonyard.jobs.records import Unit
+from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
+from persimmonyard.jobs.store import JobStore
+from persimmonyard.jobs.waiting_queue import WaitingUnits
+
+__all__ = ["SeatAssigner", "candidate_groups"]
+
+# A unit waits for its preferred rack for this multiple of its run time.  On
+# another rack it would run three times as long and use three times the
+# capacity.
+_RACK_WAIT_RUN_TIMES = 2.0
+# Longest wait for a preferred rack while half of the capacity is free, in
+# seconds: the platform expects work to start within 3 s in that case.
+_MAX_IDLE_RACK_WAIT_S = 1.5
+_MS_PER_S = 1_000
+
+
+class SeatAssigner:
+    """Assigns units to seats during one plan, and reserves upstreams.
+
+    The seats are taken from the free capacity in ``capacity_by_id``.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        estimator: RunTimeEstimator,
+        capacity_by_id: dict[str, UpstreamCapacity],
+        wall_ms: int,
+    ):
+        self._store = store
+        self._estimator = estimator
+        self._wall_ms = wall_ms
+        self._half_free = half_free(capacity_by_id)
+        self._task_counts_by_step: dict[tuple[str, int, int], dict[str, int]] = {}
+        self._free_by_rack: dict[str, int] = {}
+        for candidate in capacity_by_id.values():
+            rack = candidate.upstream.report.rack
+            rack_free = self._free_by_rack.get(rack, 0) + candidate.free.accelerators
+            self._free_by_rack[rack] = rack_free
+
+    def assign(
+        self,
+        waiting: WaitingUnits,
+        key: UnitKey,
+        unit: Unit,
+        candidates: list[UpstreamCapacity],
+    ) -> list[Seat]:
+        """Return a seat for each task of the unit, or an empty list.
+
+        The seats are taken from the free capacity of the candidates.
+        """
+        step = waiting.step
+        tasks = list(range(step.count)) if key.task == GANG_TASK else [key.task]
+        rack_wait_s = (
+            _RACK_WAIT_RUN_TIMES
+            * self._estimator.task_ms(waiting.record.job, step)
+            / _MS_PER_S
+        )
+        if waiting.within_guarantee:
+            rack_wait_s = min(rack_wait_s, GUARANTEED_WAIT_S)
+        if self._half_free:
+            rack_wait_s = min(rack_wait_s, _MAX_IDLE_RACK_WAIT_S)
+        needs = charged_resources(step)
+        preferred_fits = False
+        groups = candidate_groups(step, candidates, len(tasks))
+        if not unit.starts_apart():
+            groups = _sound_first(groups)
+        for group, preferred in groups:
+            if preferred and least_busy_fit(needs, len(tasks), group) is not None:
+                preferred_fits = True
+            if not preferred and preferred_fits and waiting.waited_s < rack_wait_s:
+                return []
+            # While crashes are common, one right after a start gives no reason
+            # for suspicion, but the next start should prove more.
+            apart = unit.starts_apart() or unit.crashed_at_start()
+            chosen = self._assign_tasks(key, step, tasks, group, apart)
+            if chosen:
+                return chosen
+        return []
+
+    def _assign_tasks(
+        self,
+        key: UnitKey,
+        step: Step,
+        tasks: list[int],
+        candidates: list[UpstreamCapacity],
+        apart: bool,
+    ) -> list[Seat]:
+        """Assign all tasks to candidates by best fit, or none of them.
+
+        With ``apart`` the tasks go where the fewest others run.
+        """
+        needs = charged_resources(step)
+        count_by_id = self._task_counts(key, step)
+        assigned: list[tuple[UpstreamCapacity, Seat]] = []
+        free_by_rack = self._free_by_rack
+        for task in tasks:
+            best = None
+            for candidate in candidates:
+                report = candidate.upstream.report
+                if not needs.fits(candidate.free) or not needs.fits(
+                    candidate.future_free
+                ):
+                    continue
+                count = count_by_id.get(report.upstream_id, 0)
+                if step.per_upstream and count >= step.per_upstream:
+                    continue
+                # Fill the fullest upstreams and racks first, so that others
+                # stay empty for work that needs a whole upstream or much of
+                # a rack.
+                rank = (
+                    rank_for_suspect(candidate, self._wall_ms) if apart else (),
+                    candidate.free.accelerators,
+                    free_by_rack[report.rack],
+                    candidate.free.cores,
+                    report.upstream_id,
+                )
+                if best is None or rank < best[0]:
+                    best = (rank, candidate)
+            if best is None:
+                for candidate, seat in assigned:
+                    candidate.free = candidate.free.plus(needs)
+                    candidate.future_free = candidate.future_free.plus(needs)
+                    free_by_rack[candidate.upstream.report.rack] += needs.accelerators
+                    count_by_id[seat.upstream_id] -= 1
+                return []
+            candidate = best[1]
+            report = candidate.upstream.report
+            candidate.free = candidate.free.minus(needs)
+            candidate.future_free = candidate.future_free.minus(needs)
+            free_by_rack[report.rack] -= needs.accelerators
+            count_by_id[report.upstream_id] = count_by_id.get(report.upstream_id, 0) + 1
+            candidate.placed_ms = self._wall_ms
+            seat = Seat(
+                task,
+                report.upstream_id,
+                report.incarnation,
+                report.address,
+                report.zone,
+            )
+            assigned.append((candidate, seat))
+        return [seat for _, seat in assigned]
+
+    def _task_counts(self, key: UnitKey, step: Step) -> dict[str, int]:
+        """Return the number of tasks of the step on each upstream.
+
+        The caller adds the tasks that this plan places.  The result is empty
+        for a step without a limit per upstream.
+        """
+        if not step.per_upstream:
+            return {}
+        step_key = (key.job_id, key.occurrence, key.step)
+        counts = self._task_counts_by_step.get(step_key)
+        if counts is not None:
+            return counts
+        counts = self._task_counts_by_step[step_key] = {}
+        record = self._store.job_by_id[key.job_id]
+        for other, unit in record.units.items():
+            if (other.occurrence, other.step) != (key.occurrence, key.step):
+                continue
+            for seat_record in unit.seats:
+                if seat_record.end is None:
+                    upstream_id = seat_record.seat.upstream_id
+                    counts[upstream_id] = counts.get(upstream_id, 0) + 1
+        return counts
+
+    def reserve(self, waiting: WaitingUnits, candidates: list[UpstreamCapacity]) -> int:
+        """Reserve the upstreams with the fewest busy accelerators for a unit.
+
+        Returns 1, or 0 if the unit does not even fit on empty upstreams.
+        """
+        needs = charged_resources(waiting.step)
+        tasks = waiting.task_count()
+        best: tuple[int, list[UpstreamCapacity]] | None = None
+        for group, preferred in candidate_groups(waiting.step, candidates, tasks):
+            if best is not None and not preferred:
+                break
+            chosen = least_busy_fit(needs, tasks, group)
+            if chosen is not None and (best is None or chosen[0] < best[0]):
+                best = chosen
+        if best is None:
+            return 0
+        for candidate in best[1]:
+            candidate.reserved = True
+        return 1
+
+
+def candidate_groups(
+    step: Step, candidates: list[UpstreamCapacity], tasks: int
+) -> Iterable[tuple[list[UpstreamCapacity], bool]]:
+    """Yield groups of candidates to try in order of preference.
+
+    The second value is true if the group satisfies the rack preference of
+    the step.
+    """
+    candidates_by_rack: dict[str, list[UpstreamCapacity]] = {}
+    for candidate in candidates:
+        candidates_by_rack.setdefault(candidate.upstream.report.rack, []).append(
+            candidate
+        )
+    if step.rack:
+        yield candidates_by_rack.get(step.rack, []), True
+        yield candidates, False
+        return
+    if step.one_rack and tasks > 1:
+        racks = sorted(candidates_by_rack.values(), key=free_accelerators)
+        for group in racks:
+            yield group, True
+        yield candidates, False
+        return
+    yield candidates, True
+
+
+def _sound_first(
+    groups: Iterable[tuple[list[UpstreamCapacity], bool]],
+) -> Iterable[tuple[list[UpstreamCapacity], bool]]:
+    """Yield groups so that doubtful upstreams are used only if needed.
+
+    All preferred groups still come before the others.
+    """
+    with_doubtful: list[list[UpstreamCapacity]] = []
+    for group, preferred in groups:
+        if not preferred:
+            for earlier in with_doubtful:
+                yield earlier, True
+            with_doubtful = []
+        sound = [candidate for candidate in group if not candidate.doubtful]
+        yield sound, preferred
+        if len(sound) == len(group):
+            continue
+        if preferred:
+            with_doubtful.append(group)
+        else:
+            yield group, False
+    for earlier in with_doubtful:
+        yield earlier, True
