Learn the speeds of upstreams from the progress of their runs

Upstreams run the same work at 0.6, 1.0 or 1.6 times the reference speed and do not report it, so that gangs wait for their slowest member.

SpeedModel compares the rates of progress of the tasks of a step. ProgressObserver supplies the rates between listings, and from the start of the work to the first one. The model belongs to the leader's term; the planner only holds it so far.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -10,6 +10,7 @@
 from persimmonyard.daemon.jobs.job_log import JobLog
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.planning_loop import PlanningLoop
+from persimmonyard.daemon.jobs.progress_observer import ProgressObserver
 from persimmonyard.daemon.jobs.replacements import Replacements
 from persimmonyard.daemon.jobs.report_filter import ReportFilter
 from persimmonyard.daemon.jobs.run_supervisor import RunSupervisor
@@ -20,6 +21,7 @@
 from persimmonyard.daemon.jobs.upstream_registry import UpstreamRegistry
 from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.daemon.logs import get_logger
+from persimmonyard.estimation import SpeedModel
 from persimmonyard.jobs import (
     Command,
     EndRuns,
@@ -92,7 +94,9 @@
         self.propose = propose
         self._estimator = RunTimeEstimator()
         self._health = UpstreamHealth()
-        self._planning_loop = PlanningLoop(self, self._estimator)
+        self.speeds = SpeedModel()
+        self.progress_observer = ProgressObserver(self.speeds)
+        self._planning_loop = PlanningLoop(self, self._estimator, self.speeds)
         self._drainer = UpstreamDrainer(self, self._estimator)
         self._upstream_registry = UpstreamRegistry(
             store,
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from persimmonyard.estimation import SpeedModel
 from persimmonyard.jobs import (
     Placement,
     PlaceRuns,
@@ -39,9 +40,16 @@
     so that it takes them into account.
     """
 
-    def __init__(self, leader_term: "LeaderTerm", estimator: RunTimeEstimator):
+    def __init__(
+        self,
+        leader_term: "LeaderTerm",
+        estimator: RunTimeEstimator,
+        speeds: SpeedModel,
+    ):
         self._term = leader_term
-        self._planner = Planner(leader_term.store, leader_term.fleet, estimator)
+        self._planner = Planner(
+            leader_term.store, leader_term.fleet, estimator, speeds=speeds
+        )
         self._plan_requested = asyncio.Event()
         # Duration of the last plan without its commit, in seconds.
         self._last_plan_s = 0.0
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -123,7 +123,9 @@
                 return
             if reply.clock_ms is not None:
                 upstream.record_clock(reply.clock_ms, term.now())
-            if await self._handle_start_reply(task_run, reply, first_attempt_at):
+            if await self._handle_start_reply(
+                task_run, reply, first_attempt_at, bool(order.checkpoint)
+            ):
                 return
 
     def _give_up_unanswered(
@@ -201,7 +203,11 @@
         await self._record_unsent(task_run, "upstream is silent")
 
     async def _handle_start_reply(
-        self, task_run: TaskRun, reply: OrderReply, first_attempt_at: float
+        self,
+        task_run: TaskRun,
+        reply: OrderReply,
+        first_attempt_at: float,
+        resumed: bool,
     ) -> bool:
         """Process the reply to a start; return False to send it again."""
         term = self._term
@@ -211,6 +217,7 @@
             task_run.answered_at = now
             task_run.started_at = task_run.started_at or now
             task_run.progressed_at = now
+            term.progress_observer.record_start(task_run, resumed, now)
             term.record_started(
                 task_run, self._session.upstream, now - task_run.placed_at
             )
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -313,6 +313,7 @@
 
     async def _process_listing(self, listing: RunListing, sent_at: float) -> None:
         now = self._term.now()
+        upstream = self.upstream
         listed = set()
         for listed_run in listing.running:
             task_run = self.task_run_by_key.get((listed_run.task_key, listed_run.run))
@@ -324,13 +325,15 @@
             if task_run.state in (RunState.INHERITED, RunState.STARTING):
                 task_run.state = RunState.RUNNING
                 task_run.answered_at = now
+            self._term.progress_observer.observe(
+                task_run, upstream.report.upstream_id, now
+            )
         ends = self._collect_ends(listing.ended, listed)
         for task_run in list(self.task_run_by_key.values()):
             if (task_run.task_key, task_run.run) not in listed:
                 end = self._resolve_unlisted(task_run, sent_at)
                 if end is not None:
                     ends.append(end)
-        upstream = self.upstream
         if ends:
             await self._term.commit_ends(ends)
         if upstream is not self.upstream:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import NamedTuple
 
 from persimmonyard.jobs import RunProgress, Step, TaskKey, UnitKey
 
-__all__ = ["RunState", "TaskRun"]
+__all__ = ["ProgressMark", "RunState", "TaskRun"]
 
 # A run without progress for this long counts as stalled, in seconds: a healthy
 # task of up to a minute advances by a percent in less time.
@@ -34,6 +35,13 @@
     STOPPING = "stopping"
 
 
+class ProgressMark(NamedTuple):
+    """The progress of a run, in percent, at a time of the monotonic clock."""
+
+    percent: int
+    at: float
+
+
 @dataclass
 class TaskRun:
     """One run of a task on one upstream; times are of the monotonic clock.
@@ -49,6 +57,9 @@
     ``inherited`` is true while no poll has shown whether an earlier leader has
     started the run, also if it is being stopped meanwhile.  ``replaced`` is
     true once another incarnation has taken the place of the run's upstream.
+    ``work_began_at`` is when the upstream answered the start, ``resumed`` is
+    true if the run continues from a checkpoint, and ``mark`` is the progress
+    from which its rate is measured next.
     """
 
     task_key: TaskKey
@@ -73,6 +84,9 @@
     first_progress_at: float | None = None
     checkpoint: str = ""
     stop_reason: str = ""
+    work_began_at: float | None = None
+    resumed: bool = False
+    mark: ProgressMark | None = None
 
     def update_progress(self, percent: int, checkpoint: str, now: float) -> None:
         """Record the progress that the upstream lists."""
--- a/packages/estimation/src/persimmonyard/estimation/__init__.py
+++ b/packages/estimation/src/persimmonyard/estimation/__init__.py
@@ -4,4 +4,6 @@
 in seconds of a monotonic clock, and the state is bounded.
 """
 
-__all__: list[str] = []
+from persimmonyard.estimation.speeds import SpeedEstimate, SpeedModel
+
+__all__ = ["SpeedEstimate", "SpeedModel"]
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from persimmonyard.estimation import SpeedModel
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
     charged_resources,
@@ -93,8 +94,16 @@
     for requests.
     """
 
-    def __init__(self, store: JobStore, fleet: Fleet, estimator: RunTimeEstimator):
+    def __init__(
+        self,
+        store: JobStore,
+        fleet: Fleet,
+        estimator: RunTimeEstimator,
+        *,
+        speeds: SpeedModel | None = None,
+    ):
         self._store = store
+        self._speeds = speeds
         self._fleet = fleet
         self._estimator = estimator
         self._queue = WaitingQueue(store, estimator)
