--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from persimmonyard.estimation import SpeedModel
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
     charged_resources,
@@ -77,8 +78,16 @@
     for requests.
     """
 
-    def __init__(self, store: JobStore, fleet: Fleet, estimator: RunTimeEstimator):
+    def __init__(
+        self,
+        store: JobStore,
+        fleet: Fleet,
+        estimator: RunTimeEstimator,
+        *,
+        speeds: SpeedModel | None = None,
+    ):
         self._store = store
+        self._speeds = speeds
         self._fleet = fleet
         self._estimator = estimator
         self._queue = WaitingQueue(store, estimator)
