Place work by the speed of upstreams

Urgent gangs were late because one member ran on a slow upstream, and the other members held their seats until it was done. A unit now needs a speed, which follows from its work and its slack; upstreams that are fast enough come first, runs that can wait are preempted there before a slower seat is taken, and the members of a gang get upstreams of similar speed. Work that can wait takes the slowest upstreams that suffice.

--- a/packages/jobs/src/persimmonyard/jobs/capacity.py
+++ b/packages/jobs/src/persimmonyard/jobs/capacity.py
@@ -26,6 +26,7 @@
     them placed at ``placed_ms``, and ``watched`` is true while one of them may
     crash it.  ``unstable`` is true if it has crashed lately.  A ``doubtful``
     upstream may not start work, or fail it.
+    ``speed_level`` is the level of its speed, 0 at the reference speed.
     """
 
     upstream: Upstream
@@ -37,6 +38,7 @@
     placed_ms: int = 0
     unstable: bool = False
     doubtful: bool = False
+    speed_level: int = 0
 
 
 def charged_resources(step: Step) -> Resources:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from persimmonyard.decisions import speed_level
 from persimmonyard.estimation import SpeedModel
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
@@ -83,11 +84,10 @@
         store: JobStore,
         fleet: Fleet,
         estimator: RunTimeEstimator,
-        *,
         speeds: SpeedModel | None = None,
     ):
-        self._store = store
         self._speeds = speeds
+        self._store = store
         self._fleet = fleet
         self._estimator = estimator
         self._queue = WaitingQueue(store, estimator)
@@ -152,7 +152,14 @@
                 candidates = self._candidates(waiting, unit, capacity_by_id, now)
                 if unit.starts_apart():
                     candidates = self._separation.filter(key, candidates, wall_ms)
-                seats = self._assign_unit(seating, waiting, key, unit, candidates)
+                fast_enough = seating.fast_enough(waiting, candidates)
+                seats = self._assign_unit(seating, waiting, key, unit, fast_enough)
+                if not seats and len(fast_enough) < len(candidates):
+                    if may_preempt and self._preempt(
+                        waiting, key, fast_enough, victim_selector, plan
+                    ):
+                        continue
+                    seats = self._assign_unit(seating, waiting, key, unit, candidates)
                 if seats:
                     if unit.starts_apart():
                         reserve_seats(seats, capacity_by_id)
@@ -223,9 +230,15 @@
                 placed_ms=placed_ms,
                 unstable=upstream.report.address in unstable_addresses,
                 doubtful=upstream.failing,
+                speed_level=self._speed_level(upstream_id),
             )
         return capacity_by_id
 
+    def _speed_level(self, upstream_id: str) -> int:
+        if self._speeds is None:
+            return 0
+        return speed_level(self._speeds.speed(upstream_id).factor)
+
     def _candidates(
         self,
         waiting: WaitingUnits,
--- a/packages/jobs/src/persimmonyard/jobs/seating.py
+++ b/packages/jobs/src/persimmonyard/jobs/seating.py
@@ -7,7 +7,15 @@
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
+from persimmonyard.decisions import (
+    FastestFirst,
+    SpeedOrder,
+    UnitPace,
+    choose_speed_order,
+    idle_share,
+)
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
     charged_resources,
@@ -36,6 +44,36 @@
 _MS_PER_S = 1_000
 
 
+# Members of a gang count as alike if at most this share of their time is idle.
+_MAX_IDLE_SHARE = 0.1
+
+
+class _UnitTasks(NamedTuple):
+    """The tasks of a unit, and how their seats are chosen."""
+
+    key: UnitKey
+    step: Step
+    tasks: list[int]
+    apart: bool
+    order: SpeedOrder
+
+
+class _GroupChoice(NamedTuple):
+    """Upstreams on which a unit fits, and the idle share of its time."""
+
+    idle_share: float
+    unit_tasks: _UnitTasks
+    members: list[UpstreamCapacity]
+
+
+class _AssignedSeat(NamedTuple):
+    """A seat that was taken, and when its upstream got the one before."""
+
+    seat: Seat
+    candidate: UpstreamCapacity
+    placed_before_ms: int
+
+
 class SeatAssigner:
     """Assigns units to seats during one plan, and reserves upstreams.
 
@@ -69,8 +107,12 @@
     ) -> list[Seat]:
         """Return a seat for each task of the unit, or an empty list.
 
-        The seats are taken from the free capacity of the candidates.
+        The seats are taken from the free capacity of the candidates.  Among
+        groups that are preferred alike, the first one takes the unit in which
+        its members are of similar speed, or else the one with the least idle
+        time.
         """
+        order = self._speed_order(waiting)
         step = waiting.step
         tasks = list(range(step.count)) if key.task == GANG_TASK else [key.task]
         rack_wait_s = (
@@ -84,37 +126,97 @@
             rack_wait_s = min(rack_wait_s, _MAX_IDLE_RACK_WAIT_S)
         needs = charged_resources(step)
         preferred_fits = False
+        best: _GroupChoice | None = None
         groups = candidate_groups(step, candidates, len(tasks))
         if not unit.starts_apart():
             groups = _sound_first(groups)
         for group, preferred in groups:
             if preferred and least_busy_fit(needs, len(tasks), group) is not None:
                 preferred_fits = True
+            if not preferred and best is not None:
+                break
             if not preferred and preferred_fits and waiting.waited_s < rack_wait_s:
                 return []
             # While crashes are common, one right after a start gives no reason
             # for suspicion, but the next start should prove more.
             apart = unit.starts_apart() or unit.crashed_at_start()
-            chosen = self._assign_tasks(key, step, tasks, group, apart)
-            if chosen:
-                return chosen
-        return []
+            unit_tasks = _UnitTasks(key, step, tasks, apart, order)
+            choice = self._choose_in_group(unit_tasks, group)
+            if choice is None:
+                continue
+            if choice.idle_share <= _MAX_IDLE_SHARE:
+                return self._take_seats(choice)
+            if best is None or choice.idle_share < best.idle_share:
+                best = choice
+        if best is None:
+            return []
+        return self._take_seats(best)
+
+    def _take_seats(self, choice: _GroupChoice) -> list[Seat]:
+        assigned = self._assign_tasks(choice.unit_tasks, choice.members)
+        return [seat for seat, _, _ in assigned]
+
+    def fast_enough(
+        self, waiting: WaitingUnits, candidates: list[UpstreamCapacity]
+    ) -> list[UpstreamCapacity]:
+        """Return the candidates on which a step can meet its objective."""
+        min_level = self._speed_order(waiting).min_level
+        return [
+            candidate for candidate in candidates if candidate.speed_level >= min_level
+        ]
+
+    def _speed_order(self, waiting: WaitingUnits) -> SpeedOrder:
+        number = waiting.units[0][0].step
+        work_ms = self._estimator.critical_path_ms(waiting.record.job, number)
+        slack_ms = waiting.slack.objective_slack_ms
+        return choose_speed_order(UnitPace(work_ms, slack_ms, waiting.route.stretch))
+
+    def _choose_in_group(
+        self, unit_tasks: _UnitTasks, group: list[UpstreamCapacity]
+    ) -> _GroupChoice | None:
+        """Return the members of a group that suit a unit best, or None.
+
+        A gang is tried with each level of speed as that of its slowest member.
+        """
+        levels = sorted({candidate.speed_level for candidate in group})
+        if len(unit_tasks.tasks) == 1 or len(levels) == 1:
+            assigned = self._assign_tasks(unit_tasks, group)
+            if not assigned:
+                return None
+            self._release(unit_tasks, assigned)
+            return _GroupChoice(0.0, unit_tasks, group)
+        if isinstance(unit_tasks.order, FastestFirst):
+            levels.reverse()
+        best: _GroupChoice | None = None
+        for slowest in levels:
+            members = [
+                candidate for candidate in group if candidate.speed_level >= slowest
+            ]
+            assigned = self._assign_tasks(unit_tasks, members)
+            if not assigned:
+                continue
+            self._release(unit_tasks, assigned)
+            share = idle_share([candidate.speed_level for _, candidate, _ in assigned])
+            if best is None or share < best.idle_share - _MAX_IDLE_SHARE:
+                best = _GroupChoice(share, unit_tasks, members)
+            if best.idle_share <= _MAX_IDLE_SHARE:
+                break
+        return best
 
     def _assign_tasks(
-        self,
-        key: UnitKey,
-        step: Step,
-        tasks: list[int],
-        candidates: list[UpstreamCapacity],
-        apart: bool,
-    ) -> list[Seat]:
+        self, unit_tasks: _UnitTasks, candidates: list[UpstreamCapacity]
+    ) -> list[_AssignedSeat]:
         """Assign all tasks to candidates by best fit, or none of them.
 
-        With ``apart`` the tasks go where the fewest others run.
+        With ``apart`` the tasks go where the fewest others run.  The members
+        of a gang go to the slowest candidates, because one that is faster than
+        another only waits for it.
         """
+        key, step, tasks, apart, order = unit_tasks
+        fastest_first = isinstance(order, FastestFirst) and len(tasks) == 1
         needs = charged_resources(step)
         count_by_id = self._task_counts(key, step)
-        assigned: list[tuple[UpstreamCapacity, Seat]] = []
+        assigned: list[_AssignedSeat] = []
         free_by_rack = self._free_by_rack
         for task in tasks:
             best = None
@@ -127,11 +229,13 @@
                 count = count_by_id.get(report.upstream_id, 0)
                 if step.per_upstream and count >= step.per_upstream:
                     continue
+                level = candidate.speed_level
                 # Fill the fullest upstreams and racks first, so that others
                 # stay empty for work that needs a whole upstream or much of
                 # a rack.
                 rank = (
                     rank_for_suspect(candidate, self._wall_ms) if apart else (),
+                    -level if fastest_first else level,
                     candidate.free.accelerators,
                     free_by_rack[report.rack],
                     candidate.free.cores,
@@ -140,11 +244,7 @@
                 if best is None or rank < best[0]:
                     best = (rank, candidate)
             if best is None:
-                for candidate, seat in assigned:
-                    candidate.free = candidate.free.plus(needs)
-                    candidate.future_free = candidate.future_free.plus(needs)
-                    free_by_rack[candidate.upstream.report.rack] += needs.accelerators
-                    count_by_id[seat.upstream_id] -= 1
+                self._release(unit_tasks, assigned)
                 return []
             candidate = best[1]
             report = candidate.upstream.report
@@ -152,6 +252,7 @@
             candidate.future_free = candidate.future_free.minus(needs)
             free_by_rack[report.rack] -= needs.accelerators
             count_by_id[report.upstream_id] = count_by_id.get(report.upstream_id, 0) + 1
+            placed_before_ms = candidate.placed_ms
             candidate.placed_ms = self._wall_ms
             seat = Seat(
                 task,
@@ -160,8 +261,21 @@
                 report.address,
                 report.zone,
             )
-            assigned.append((candidate, seat))
-        return [seat for _, seat in assigned]
+            assigned.append(_AssignedSeat(seat, candidate, placed_before_ms))
+        return assigned
+
+    def _release(self, unit_tasks: _UnitTasks, assigned: list[_AssignedSeat]) -> None:
+        """Give back the capacity that ``_assign_tasks`` has taken."""
+        needs = charged_resources(unit_tasks.step)
+        count_by_id = self._task_counts(unit_tasks.key, unit_tasks.step)
+        for seat, candidate, placed_before_ms in reversed(assigned):
+            candidate.free = candidate.free.plus(needs)
+            candidate.future_free = candidate.future_free.plus(needs)
+            candidate.placed_ms = placed_before_ms
+            rack = candidate.upstream.report.rack
+            self._free_by_rack[rack] += needs.accelerators
+            if unit_tasks.step.per_upstream:
+                count_by_id[seat.upstream_id] -= 1
 
     def _task_counts(self, key: UnitKey, step: Step) -> dict[str, int]:
         """Return the number of tasks of the step on each upstream.
--- /dev/null
+++ b/test/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the jobs package."""
