Reserve no upstreams while most of the fleet is free

In the replay memory binds: tasks of 140 GB fit once on an upstream, 30 of 176 upstreams have room for one, and waiting gangs ahead may reserve more than these. Nothing is reserved now while over half of the accelerators, cores and memory is free; the test fails without the change.

--- a/packages/jobs/src/persimmonyard/jobs/capacity.py
+++ b/packages/jobs/src/persimmonyard/jobs/capacity.py
@@ -13,6 +13,7 @@
     "free_accelerators",
     "half_free",
     "least_busy_fit",
+    "mostly_free",
 ]
 
 
@@ -56,6 +57,18 @@
     return 2 * free >= total
 
 
+def mostly_free(capacity_by_id: dict[str, UpstreamCapacity]) -> bool:
+    """Return whether over half of each resource of the fleet is free."""
+    free = total = Resources(0, 0, 0)
+    for candidate in capacity_by_id.values():
+        free = free.plus(candidate.free)
+        total = total.plus(candidate.upstream.report.capacity)
+    return all(
+        2 * available > whole or not whole
+        for available, whole in zip(free, total, strict=True)
+    )
+
+
 def least_busy_fit(
     needs: Resources, tasks: int, group: list[UpstreamCapacity]
 ) -> tuple[int, list[UpstreamCapacity]] | None:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -14,6 +14,7 @@
     UpstreamCapacity,
     charged_resources,
     fits_when_empty,
+    mostly_free,
 )
 from persimmonyard.jobs.commands import Placement, Seat
 from persimmonyard.jobs.crash_isolation import (
@@ -132,6 +133,9 @@
         victim_selector = VictimSelector(
             self._store, self._estimator, runs, guaranteed_jobs, wall_ms
         )
+        # Where most of the fleet is free, a unit that does not fit waits for
+        # particular upstreams, and the others need not wait with it.
+        may_reserve = not mostly_free(capacity_by_id)
         reserving_units = 0
         unplaceable_shapes: set[tuple] = set()
         tasks_left = _MAX_TASKS_PER_PLAN
@@ -175,7 +179,8 @@
                     continue
                 step_is_full = step_is_full or step_is_decisive
                 if (
-                    reserving_units < _MAX_RESERVING_UNITS
+                    may_reserve
+                    and reserving_units < _MAX_RESERVING_UNITS
                     and waiting.waited_s > _RESERVE_AFTER_S
                 ):
                     reserving_units += seating.reserve(waiting, candidates)
--- a/test/jobs/test_planner.py
+++ b/test/jobs/test_planner.py
@@ -414,6 +414,22 @@
         cluster.submit(step(1, gpu=1, estimate_ms=60_000), job_id="c" * 16)
         self.assertEqual([], cluster.place(after_ms=2_000).placements)
 
+    def test_nothing_is_reserved_while_most_capacity_is_free(self):
+        """Guards against a job that starts late beside an idle fleet.
+
+        The gangs before it wait for upstreams of one rack.
+        """
+        cluster = Cluster()
+        for number in range(6):
+            cluster.add(f"u{number}", rack=f"r{number % 3}")
+        cluster.submit(*[step(1, gpu=2, per_upstream=1) for _ in range(3)])
+        cluster.place()
+        for job_id in ("b" * 16, "c" * 16):
+            cluster.submit(step(6, gpu=8, gang=True), job_id=job_id)
+        cluster.submit(step(1, gpu=8, estimate_ms=60_000), job_id="d" * 16)
+        placements = cluster.place(after_ms=2_000).placements
+        self.assertEqual(["d" * 16], [p.key.job_id for p in placements])
+
     def test_nothing_is_reserved_for_work_that_never_fits(self):
         """Guards against a job that can never fit and blocks other jobs."""
         cluster = Cluster()
