Plan urgent jobs of accounts that are not configured

GuaranteedJobs raised a KeyError for a job of priority 0 that needs no accelerators and whose account is not configured (a call without a key on an open route, or an account that a later configuration left out). The error ended the term of every leader. Such a job is now not covered by a guarantee.

--- a/packages/jobs/src/persimmonyard/jobs/guarantees.py
+++ b/packages/jobs/src/persimmonyard/jobs/guarantees.py
@@ -29,8 +29,9 @@
             if not record.is_active() or route is None or route.priority != 0:
                 continue
             account = record.job.account
+            available = available_by_account.get(account)
             needed = _peak_accelerators(record)
-            if needed <= available_by_account.get(account, 0):
+            if available is not None and needed <= available:
                 available_by_account[account] -= needed
                 self._job_ids.add(record.job.job_id)
 
--- a/test/jobs/test_planner.py
+++ b/test/jobs/test_planner.py
@@ -301,6 +301,17 @@
             cluster.runs[run_key] = cluster.runs[run_key]._replace(stopping=True)
         self.assertEqual([], cluster.place().preemptions)
 
+    def test_urgent_work_of_an_unknown_account_is_planned(self):
+        """Guards against an error that ends every term of every leader.
+
+        The job needs no accelerators, and its account is not configured, as
+        with calls without a key on an open route.
+        """
+        cluster = Cluster(guaranteed=8)
+        cluster.add("u1")
+        cluster.submit(step(gpu=0), route="urgent", account="")
+        self.assertEqual(1, len(cluster.plan().placements))
+
     def test_work_beyond_the_guarantee_stops_no_costly_runs(self):
         """Guards against preemptions that cost more than their benefit."""
         cluster = Cluster(guaranteed=0)
