Keep client accounts within their limits

The service did not read the limits of accounts: one had 801 cores and 168 accelerators running where 722 and 162 were allowed. The adapter decodes limits and weights; the store counts what each account has running as seats open and close, and on restore. The planner skips a unit over the limit without preemption, reservation or a note on its shape. The state machine refuses a placement over the limit as well, because a configuration with a lower limit may be committed between a plan and its placements.

--- a/packages/jobs/src/persimmonyard/jobs/configuration.py
+++ b/packages/jobs/src/persimmonyard/jobs/configuration.py
@@ -1,7 +1,11 @@
 """Operator configuration: routes, services, client accounts and their keys."""
 
+import math
+
 import msgspec
 
+from persimmonyard.model import Resources
+
 __all__ = [
     "AccountSpec",
     "JobConfiguration",
@@ -45,11 +49,18 @@
 
 
 class AccountSpec(msgspec.Struct, frozen=True):
-    """A client account, its API keys and its guaranteed accelerators."""
+    """A client account, its API keys and its guaranteed accelerators.
+
+    ``limit`` is what it may have running at once; a resource with 0 has no
+    limit.  ``weight`` is its share of the capacity in proportion to the other
+    accounts, and its entitled jobs per second; 0 stands for none.
+    """
 
     name: str
     keys: tuple[str, ...] = ()
     guaranteed: int = 0
+    limit: Resources = Resources(0, 0, 0)
+    weight: float = 0.0
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -82,7 +93,20 @@
         if host_and_prefix in seen_prefixes:
             return f"two routes share host and prefix {host_and_prefix!r}"
         seen_prefixes.add(host_and_prefix)
-    return _shared_key_problem(configuration)
+    return _shared_key_problem(configuration) or _account_problem(configuration)
+
+
+def _account_problem(configuration: JobConfiguration) -> str:
+    spec_by_name: dict[str, AccountSpec] = {}
+    for account in configuration.accounts:
+        if min(account.limit) < 0:
+            return f"account {account.name!r} has a negative limit"
+        if not math.isfinite(account.weight) or account.weight < 0:
+            return f"account {account.name!r} has the weight {account.weight}"
+        first = spec_by_name.setdefault(account.name, account)
+        if (first.limit, first.weight) != (account.limit, account.weight):
+            return f"account {account.name!r} has two limits or weights"
+    return ""
 
 
 def _shared_key_problem(configuration: JobConfiguration) -> str:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -9,7 +9,9 @@
 from typing import NamedTuple
 
 from persimmonyard.decisions import speed_level
+from persimmonyard.decisions.quota import OverLimit
 from persimmonyard.estimation import SpeedModel
+from persimmonyard.jobs.account_usage import PlannedUsage
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
     charged_resources,
@@ -135,13 +137,18 @@
         reserving_units = 0
         unplaceable_shapes: set[tuple] = set()
         tasks_left = _MAX_TASKS_PER_PLAN
+        planned_usage = PlannedUsage(self._store.account_usage)
         for waiting in ready:
+            account = waiting.record.job.account
             shape = _shape(waiting)
             step_is_full = False
             for key, unit in waiting.units:
                 if time.perf_counter() > ends_at:
                     plan.truncated = bool(plan.placements)
                     return plan
+                if isinstance(planned_usage.decide(account, waiting.step), OverLimit):
+                    # The other units of the step need as much.
+                    break
                 step_is_decisive = key.task != GANG_TASK and not unit.avoid
                 step_is_decisive = step_is_decisive and not unit.crashes
                 shape_is_decisive = step_is_decisive and not waiting.step.per_upstream
@@ -158,12 +165,14 @@
                     if may_preempt and self._preempt(
                         waiting, key, fast_enough, victim_selector, plan
                     ):
+                        planned_usage.add(account, waiting.step)
                         continue
                     seats = self._assign_unit(seating, waiting, key, unit, candidates)
                 if seats:
                     if unit.starts_apart():
                         reserve_seats(seats, capacity_by_id)
                     plan.placements.append(Placement(key, unit.run + 1, tuple(seats)))
+                    planned_usage.add(account, waiting.step)
                     tasks_left -= len(seats)
                     continue
                 if shape_is_decisive:
@@ -172,6 +181,7 @@
                     waiting, key, candidates, victim_selector, plan
                 ):
                     unplaceable_shapes.discard(shape)
+                    planned_usage.add(account, waiting.step)
                     continue
                 step_is_full = step_is_full or step_is_decisive
                 if (
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from persimmonyard.decisions.quota import OverLimit
+from persimmonyard.jobs.account_usage import AccountUsage
 from persimmonyard.jobs.changes import Change, JobEnded, RunPlaced, TaskEnded
 from persimmonyard.jobs.commands import (
     Answer,
@@ -83,6 +85,8 @@
         # The last report of each upstream that is silent, by its address.
         self.silent_report_by_address: dict[str, UpstreamReport] = {}
         self.seats_by_upstream: dict[str, dict[tuple[TaskKey, int], SeatRecord]] = {}
+        # What each client account has running, and its limit.
+        self.account_usage = AccountUsage()
         self._route_by_name: dict[str, Route] = {}
         self._account_by_key: dict[str, str] = {}
         self._waiting: dict[UnitKey, Unit] = {}
@@ -129,6 +133,7 @@
             report.address: report for report in snapshot_data.silent_upstreams
         }
         self.seats_by_upstream = {}
+        self.account_usage.clear()
         self._waiting = {}
         self._crash_accounting = CrashAccounting(self, snapshot_data.crashes)
         self._index_configuration()
@@ -141,7 +146,7 @@
                 self._waiting[key] = unit
             for seat_record in unit.seats:
                 if seat_record.end is None:
-                    self._index_seat(key, unit.run, seat_record)
+                    self._index_seat(record, key, unit.run, seat_record)
             if unit.lost_seats and record.is_active():
                 self._crash_accounting.index_lost_seats(key, unit)
 
@@ -211,6 +216,7 @@
     def _index_configuration(self) -> None:
         self._route_by_name = {}
         self._account_by_key = {}
+        self.account_usage.set_configuration(self.configuration)
         if self.configuration is None:
             return
         for route in self.configuration.routes:
@@ -333,6 +339,8 @@
         unit = self._waiting.get(key)
         if record is None or unit is None or placement.run <= unit.run:
             return
+        if self._is_over_limit(record, key):
+            return
         del self._waiting[key]
         record.begun = True
         unit.status = UnitStatus.PLACED
@@ -340,10 +348,25 @@
         unit.placed_ms = at_ms
         unit.seats = [SeatRecord(seat) for seat in placement.seats]
         for seat_record in unit.seats:
-            self._index_seat(key, unit.run, seat_record)
+            self._index_seat(record, key, unit.run, seat_record)
         self._changes.append(RunPlaced(key, unit.run))
 
-    def _index_seat(self, key: UnitKey, run: int, seat_record: SeatRecord) -> None:
+    def _is_over_limit(self, record: JobRecord, key: UnitKey) -> bool:
+        """Return whether a unit would take its account above its limit.
+
+        The leader does not propose such a placement, but a configuration with
+        a lower limit may have been committed before it.
+        """
+        step = record.step_of(key)
+        match self.account_usage.decide(record.job.account, step):
+            case OverLimit():
+                return True
+        return False
+
+    def _index_seat(
+        self, record: JobRecord, key: UnitKey, run: int, seat_record: SeatRecord
+    ) -> None:
+        self.account_usage.open_seat(record.job.account, record.step_of(key))
         task_key = key.task_key(seat_record.seat.task)
         seats = self.seats_by_upstream.setdefault(seat_record.seat.upstream_id, {})
         seats[(task_key, run)] = seat_record
@@ -377,6 +400,7 @@
         del seats[(task_key, unit.run)]
         if not seats:
             del self.seats_by_upstream[seat_record.seat.upstream_id]
+        self.account_usage.close_seat(record.job.account, record.step_of(end.key))
         if end.checkpoint:
             unit.checkpoint = end.checkpoint
         if end.end == TaskEnd.LOST and record.is_active() and not unit.is_done():
--- a/test/platform_adapter/test_codec.py
+++ b/test/platform_adapter/test_codec.py
@@ -229,6 +229,16 @@
         body = encode({"version": 3, "routes": [ROUTE], "services": [], "x": 1})
         self.assertEqual(body, decode_configuration(body).text)
 
+    def test_limits_of_accounts_are_decoded(self):
+        """Guards against a limit that binds another resource."""
+        limit = {"cpu": 722_000, "mem_mb": 9_000, "gpu": 162}
+        tenants = [{"name": "t", "max_count": limit, "weight": 2.5}, {"name": "u"}]
+        body = {"version": 3, "routes": [], "services": [], "tenants": tenants}
+        limited, unlimited = decode_configuration(encode(body)).accounts
+        self.assertEqual(Resources(162, 722_000, 9_000), limited.limit)
+        self.assertEqual((2.5, 0.0), (limited.weight, unlimited.weight))
+        self.assertEqual(Resources(0, 0, 0), unlimited.limit)
+
     def test_incomplete_configuration_is_rejected(self):
         """Guards against applying only part of a configuration.
 
@@ -253,8 +263,11 @@
                 self.check_route({name: number}, valid)
             for name in ("target_completion_ms", "stretch"):
                 self.check_route({name: number}, valid)
-            tenant = {"name": "t", "guaranteed": {"gpu": number}}
-            self.check_configuration({"tenants": [tenant]}, valid)
+            changes = [{"guaranteed": {"gpu": number}}, {"weight": number}]
+            for name in ("cpu", "mem_mb", "gpu"):
+                changes.append({"max_count": {name: number}})
+            for change in changes:
+                self.check_configuration({"tenants": [{"name": "t"} | change]}, valid)
             self.check_configuration({"limits": {"max_body_bytes": number}}, valid)
         for version in (0, 2**53, 2**63 - 1, -1, 2**63, 2**64, 10**30, 1.0):
             self.check_configuration(
--- a/test/platform_adapter/test_odd_bodies.py
+++ b/test/platform_adapter/test_odd_bodies.py
@@ -251,7 +251,17 @@
             for name in ("timeout_ms", "priority", "attempts"):
                 odd = encode_with(configuration_body(2, **{name: number}))
                 await self.check_refused(self.operator, "PUT", path, odd)
-        odd = encode_with(body, tenants=[{"name": "t", "api_keys": [""]}])
+        tenants = [{"api_keys": [""]}, {"max_count": 3}, {"max_count": None}]
+        for number in ODD_NUMBERS:
+            for name in ("cpu", "mem_mb", "gpu"):
+                tenants.append({"max_count": {name: number}})
+            if number != 1.5:
+                tenants.append({"weight": number})
+        for fields in tenants:
+            odd = encode_with(body, tenants=[{"name": "t"} | fields])
+            await self.check_refused(self.operator, "PUT", path, odd)
+        two_limits = [{"name": "t"}, {"name": "t", "max_count": {"gpu": 1}}]
+        odd = encode_with(body, tenants=two_limits)
         await self.check_refused(self.operator, "PUT", path, odd)
         self.assertEqual(1, self.control.store.version())
         await self.check_service()
--- a/test/platform_adapter/test_random_bodies.py
+++ b/test/platform_adapter/test_random_bodies.py
@@ -39,7 +39,15 @@
     "version": 3,
     "routes": [ROUTE | {"stretch": 1.5, "attempts": 4, "priority": 0}],
     "services": [{"name": "svc", "admission_check": True}],
-    "tenants": [{"name": "t", "api_keys": ["k"], "guaranteed": {"gpu": 3}}],
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k"],
+            "guaranteed": {"gpu": 3},
+            "max_count": {"cpu": 64_000, "mem_mb": 9_000, "gpu": 8},
+            "weight": 2.5,
+        }
+    ],
     "limits": {"max_body_bytes": 1_000},
 }
 LISTING = {
