Order waiting work by the weighted shares of accounts

An account that sent many times its usual load made the others late, because its older jobs had less slack and went first. Where accounts have weights, those below their share of the dominant resource now go first within the same urgency, and jobs beyond the rate of their account last within a priority. The mark of such a job and the allowance of each account are replicated.

--- a/packages/decisions/src/persimmonyard/decisions/quota.py
+++ b/packages/decisions/src/persimmonyard/decisions/quota.py
@@ -25,7 +25,6 @@
     "dominant_share",
     "entitled_shares",
     "share_rank",
-    "units_below_share",
 ]
 
 NO_RESOURCES = Resources(0, 0, 0)
@@ -134,30 +133,6 @@
     return ShareRank.AT_SHARE
 
 
-def units_below_share(
-    used: Resources,
-    capacity: Resources,
-    entitled: float,
-    needs: Resources,
-    units: int,
-) -> int:
-    """Return how many of several equal units start below the entitled share.
-
-    ``needs`` is that of a whole unit.  The first unit starts with ``used``
-    running, and each other one with those before it running as well.
-    """
-    below = units
-    for amount, available, need in zip(used, capacity, needs, strict=True):
-        if available <= 0:
-            continue
-        left = entitled * available - amount
-        if left <= 0:
-            return 0
-        if need:
-            below = min(below, int(-(-left // need)))
-    return below
-
-
 class JobRate(NamedTuple):
     """How many jobs an account may still send within its rate.
 
--- a/packages/jobs/src/persimmonyard/jobs/account_usage.py
+++ b/packages/jobs/src/persimmonyard/jobs/account_usage.py
@@ -46,16 +46,21 @@
 
     def __init__(self) -> None:
         self._spec_by_name: dict[str, AccountSpec] = {}
+        # The weights of the accounts that have one.
+        self.weight_by_name: dict[str, float] = {}
         self._seats_by_name: dict[str, int] = {}
         self._used_by_name: dict[str, Resources] = {}
 
     def set_configuration(self, configuration: JobConfiguration | None) -> None:
         """Apply the limits and weights of a configuration."""
         self._spec_by_name = {}
+        self.weight_by_name = {}
         if configuration is None:
             return
         for spec in configuration.accounts:
             self._spec_by_name[spec.name] = spec
+            if spec.weight:
+                self.weight_by_name[spec.name] = spec.weight
 
     def clear(self) -> None:
         """Forget all seats, before those of a snapshot are counted."""
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -11,6 +11,7 @@
 from persimmonyard.decisions import speed_level
 from persimmonyard.decisions.quota import OverLimit
 from persimmonyard.estimation import SpeedModel
+from persimmonyard.jobs.account_shares import order_by_share, total_capacity
 from persimmonyard.jobs.account_usage import PlannedUsage
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
@@ -127,6 +128,10 @@
             return plan
         capacity_by_id = self._current_capacity(runs, now, wall_ms)
         limit_watched(capacity_by_id)
+        capacity = total_capacity(
+            candidate.upstream.report for candidate in capacity_by_id.values()
+        )
+        ready = order_by_share(ready, self._store.account_usage, capacity)
         seating = SeatAssigner(self._store, self._estimator, capacity_by_id, wall_ms)
         self._separation.forget_placed(
             key for waiting in ready for key, _ in waiting.units
--- a/packages/jobs/src/persimmonyard/jobs/records.py
+++ b/packages/jobs/src/persimmonyard/jobs/records.py
@@ -81,6 +81,7 @@
     was placed.  ``open_by_step`` is the number of units that are not done, by
     "occurrence.step".  ``ended_ms`` is when the job completed, failed or was
     cancelled, or 0 before.  ``failure`` tells callers why it failed.
+    ``beyond_rate`` is true if it was sent beyond the rate of its account.
     """
 
     job: Job
@@ -92,6 +93,7 @@
     begun: bool = False
     ended_ms: int = 0
     failure: str = ""
+    beyond_rate: bool = False
 
     def state(self) -> JobState:
         """Return the state that callers see."""
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from persimmonyard.decisions.quota import OverLimit
+from persimmonyard.decisions.quota import JobRate, OverLimit
+from persimmonyard.jobs.account_rates import AccountRates
 from persimmonyard.jobs.account_usage import AccountUsage
 from persimmonyard.jobs.changes import Change, JobEnded, RunPlaced, TaskEnded
 from persimmonyard.jobs.commands import (
@@ -62,6 +63,7 @@
     upstreams: list[UpstreamReport] = []
     crashes: list[UpstreamCrash] = []
     silent_upstreams: list[UpstreamReport] = []
+    account_rates: dict[str, JobRate] = {}
 
 
 class JobStore:
@@ -87,6 +89,7 @@
         self.seats_by_upstream: dict[str, dict[tuple[TaskKey, int], SeatRecord]] = {}
         # What each client account has running, and its limit.
         self.account_usage = AccountUsage()
+        self._account_rates = AccountRates()
         self._route_by_name: dict[str, Route] = {}
         self._account_by_key: dict[str, str] = {}
         self._waiting: dict[UnitKey, Unit] = {}
@@ -117,6 +120,7 @@
             list(self.report_by_upstream.values()),
             self._crash_accounting.recent_crashes(),
             list(self.silent_report_by_address.values()),
+            self._account_rates.rate_by_account,
         )
         return msgspec.msgpack.encode(snapshot_data)
 
@@ -134,6 +138,7 @@
         }
         self.seats_by_upstream = {}
         self.account_usage.clear()
+        self._account_rates.rate_by_account = snapshot_data.account_rates
         self._waiting = {}
         self._crash_accounting = CrashAccounting(self, snapshot_data.crashes)
         self._index_configuration()
@@ -217,6 +222,7 @@
         self._route_by_name = {}
         self._account_by_key = {}
         self.account_usage.set_configuration(self.configuration)
+        self._account_rates.set_configuration(self.configuration)
         if self.configuration is None:
             return
         for route in self.configuration.routes:
@@ -302,6 +308,7 @@
         if job.job_id in self.job_by_id:
             return False
         record = JobRecord(job, self._route_by_name.get(job.route))
+        record.beyond_rate = self._account_rates.count_job(job)
         self.job_by_id[job.job_id] = record
         for occurrence in range(job.occurrences()):
             for number, step in enumerate(job.steps):
--- a/test/decisions/test_quota.py
+++ b/test/decisions/test_quota.py
@@ -11,7 +11,6 @@
     decide_quota,
     entitled_shares,
     share_rank,
-    units_below_share,
 )
 from persimmonyard.model import Resources
 
@@ -63,18 +62,6 @@
         without_capacity = share_rank(below, Resources(0, 0, 0), 0.25)
         self.assertEqual(ShareRank.BELOW_SHARE, without_capacity)
 
-    def test_units_below_share_match_one_rank_at_a_time(self):
-        """Guards against a step that takes more than its account's share."""
-        needs = Resources(3, 400, 0)
-        for used in (Resources(0, 0, 0), Resources(20, 0, 0), Resources(0, 2_500, 0)):
-            running, expected = used, 0
-            while share_rank(running, CAPACITY, 0.25) == ShareRank.BELOW_SHARE:
-                running, expected = running.plus(needs), expected + 1
-            found = units_below_share(used, CAPACITY, 0.25, needs, 50)
-            self.assertEqual(expected, found)
-        few = units_below_share(Resources(0, 0, 0), CAPACITY, 0.25, needs, 2)
-        self.assertEqual(2, few)
-
 
 class JobRateTests(unittest.TestCase):
     def count_within(self, weight, interval_ms, jobs):
