Keep run times at reference speed in a quantile sketch by image

The moving average of a work class mixed programs, speeds of upstreams and the wait of gangs for their slowest member, and one task with seven times the work moved it by 90%.

RunTimeEstimator uses its median as it used the average. Run times are multiplied by the factor of the upstream; that of a gang counts once, from its last start, with the factor of its slowest member.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -21,7 +21,7 @@
 from persimmonyard.daemon.jobs.upstream_registry import UpstreamRegistry
 from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.daemon.logs import get_logger
-from persimmonyard.estimation import SpeedModel
+from persimmonyard.estimation import RunTimes, SpeedModel
 from persimmonyard.jobs import (
     Command,
     EndRuns,
@@ -92,7 +92,8 @@
         # process then replaces this object by a new one.
         self.failed = False
         self.propose = propose
-        self._estimator = RunTimeEstimator()
+        self.run_times = RunTimes()
+        self._estimator = RunTimeEstimator(self.run_times)
         self._health = UpstreamHealth()
         self.speeds = SpeedModel()
         self.progress_observer = ProgressObserver(self.speeds)
@@ -360,13 +361,11 @@
             self._health.record_success(upstream_id)
             if upstream is not None:
                 upstream.failing = False
-            started_at = task_run.started_at
-            if (
-                record is not None
-                and started_at is not None
-                and not task_run.checkpoint
-            ):
-                self._estimator.observe(record.job.route, (now - started_at) * 1_000)
+            work_s = self.progress_observer.work_s(task_run, upstream_id, now)
+            if record is not None and work_s is not None:
+                self._estimator.observe(
+                    record.job.route, work_s * 1_000, task_run.step.image
+                )
         if end.end == TaskEnd.FAILED:
             avoid_s = self._health.record_failure(upstream_id, end.key.job_id)
             if upstream is not None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/progress_observer.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/progress_observer.py
@@ -32,9 +32,9 @@
 
 
 class _GangStart(NamedTuple):
-    """How many members of a gang have started, and when the last one did."""
+    """The upstreams that started members of a gang, and when the last did."""
 
-    members: int
+    upstream_ids: tuple[str, ...]
     last_at: float
 
 
@@ -52,7 +52,9 @@
         self._rate_by_step: dict[_StepKey, float] = {}
         self._start_by_gang: dict[tuple[UnitKey, int], _GangStart] = {}
 
-    def record_start(self, task_run: TaskRun, resumed: bool, now: float) -> None:
+    def record_start(
+        self, task_run: TaskRun, upstream_id: str, resumed: bool, now: float
+    ) -> None:
         """Record that the upstream has answered the start of a run.
 
         ``resumed`` tells whether it continues from a checkpoint.
@@ -62,8 +64,9 @@
             task_run.work_began_at = now
             return
         gang = (task_run.unit_key, task_run.run)
-        started = self._start_by_gang.pop(gang, _GangStart(0, now))
-        self._start_by_gang[gang] = _GangStart(started.members + 1, now)
+        started = self._start_by_gang.pop(gang, _GangStart((), now))
+        upstream_ids = (*started.upstream_ids, upstream_id)
+        self._start_by_gang[gang] = _GangStart(upstream_ids, now)
         if len(self._start_by_gang) > _MAX_STEPS:
             del self._start_by_gang[next(iter(self._start_by_gang))]
 
@@ -100,6 +103,34 @@
         task_run.mark = ProgressMark(percent, now)
         self._speeds.observe(step, upstream_id, rate, now)
 
+    def work_s(self, task_run: TaskRun, upstream_id: str, now: float) -> float | None:
+        """Return how long a run that is done takes at reference speed.
+
+        The result is in seconds.  A gang takes as long as its slowest member,
+        so it is that of the whole gang, for the first member that ends.
+        Returns None if the run time is not known.
+        """
+        if task_run.resumed or task_run.checkpoint or task_run.step.long_running:
+            return None
+        if not task_run.step.gang:
+            began_at = task_run.started_at
+            if began_at is None:
+                return None
+            return (now - began_at) * self._speeds.speed(upstream_id).factor
+        started = self._complete_gang(task_run)
+        if started is None:
+            return None
+        del self._start_by_gang[(task_run.unit_key, task_run.run)]
+        factors = [self._speeds.speed(member).factor for member in started.upstream_ids]
+        return (now - started.last_at) * min(factors)
+
+    def _complete_gang(self, task_run: TaskRun) -> _GangStart | None:
+        """Return the start of a gang all of whose members have started."""
+        started = self._start_by_gang.get((task_run.unit_key, task_run.run))
+        if started is None or len(started.upstream_ids) < task_run.step.count:
+            return None
+        return started
+
     def _first_mark(self, task_run: TaskRun) -> ProgressMark | None:
         """Return the begin of the work of a run, or None if unknown."""
         if task_run.resumed:
@@ -107,10 +138,8 @@
         if not task_run.step.gang:
             began_at = task_run.work_began_at
             return None if began_at is None else ProgressMark(0, began_at)
-        started = self._start_by_gang.get((task_run.unit_key, task_run.run))
-        if started is None or started.members < task_run.step.count:
-            return None
-        return ProgressMark(0, started.last_at)
+        started = self._complete_gang(task_run)
+        return None if started is None else ProgressMark(0, started.last_at)
 
     def _next_mark(self, percent: int, now: float) -> ProgressMark | None:
         """Return the begin of the next interval.
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -217,7 +217,8 @@
             task_run.answered_at = now
             task_run.started_at = task_run.started_at or now
             task_run.progressed_at = now
-            term.progress_observer.record_start(task_run, resumed, now)
+            upstream_id = self._session.upstream.report.upstream_id
+            term.progress_observer.record_start(task_run, upstream_id, resumed, now)
             term.record_started(
                 task_run, self._session.upstream, now - task_run.placed_at
             )
--- a/packages/estimation/src/persimmonyard/estimation/__init__.py
+++ b/packages/estimation/src/persimmonyard/estimation/__init__.py
@@ -4,6 +4,7 @@
 in seconds of a monotonic clock, and the state is bounded.
 """
 
+from persimmonyard.estimation.run_times import RunTimes
 from persimmonyard.estimation.speeds import SpeedEstimate, SpeedModel
 
-__all__ = ["SpeedEstimate", "SpeedModel"]
+__all__ = ["RunTimes", "SpeedEstimate", "SpeedModel"]
--- a/packages/jobs/src/persimmonyard/jobs/run_time_estimator.py
+++ b/packages/jobs/src/persimmonyard/jobs/run_time_estimator.py
@@ -2,18 +2,19 @@
 
 from typing import NamedTuple
 
+from persimmonyard.estimation import RunTimes
 from persimmonyard.jobs.configuration import Route
 from persimmonyard.jobs.model import Job, Step
 
 __all__ = ["RunTimeEstimator"]
 
-# Weight of a new observation in the moving average of a work class.
-_SMOOTHING_FACTOR = 0.15
-# From this number of observations on, the average of the work class counts as
+# From this number of observations on, the median of a kind of work counts as
 # much as the caller's estimate, which may be wrong by some factor.
 _MIN_OBSERVATIONS = 5
 # Run time that is assumed for a task without an estimate, in ms.
 _DEFAULT_RUN_MS = 2_000.0
+_MEDIAN = 0.5
+_MS_PER_S = 1_000
 
 
 class _CriticalPaths(NamedTuple):
@@ -29,27 +30,36 @@
 
 
 class RunTimeEstimator:
-    """Estimates run times from a moving average per work class, in ms."""
+    """Estimates run times at reference speed, in ms.
 
-    def __init__(self) -> None:
-        self._mean_by_route: dict[str, float] = {}
+    It uses the median of the work class and image, or that of the work class
+    while few runs of the image are known.  ``run_times`` has the observations.
+    """
+
+    def __init__(self, run_times: RunTimes | None = None) -> None:
+        self._run_times = run_times if run_times is not None else RunTimes()
         self._count_by_route: dict[str, int] = {}
         self._last_paths: _CriticalPaths | None = None
 
-    def observe(self, route: str, run_ms: float) -> None:
-        """Record the run time of a task that completed."""
-        count = self._count_by_route.get(route, 0)
-        mean = self._mean_by_route.get(route, run_ms)
-        weight = max(_SMOOTHING_FACTOR, 1.0 / (count + 1))
-        self._mean_by_route[route] = mean + weight * (run_ms - mean)
-        self._count_by_route[route] = count + 1
+    def observe(self, route: str, run_ms: float, image: str = "") -> None:
+        """Record the run time of a completed task at reference speed."""
+        self._run_times.observe((route, ""), run_ms / _MS_PER_S)
+        if image:
+            self._run_times.observe((route, image), run_ms / _MS_PER_S)
+        self._count_by_route[route] = self._count_by_route.get(route, 0) + 1
 
     def task_ms(self, job: Job, step: Step) -> float:
         """Return the expected run time of a task of the step."""
         estimate = float(step.estimate_ms) or _DEFAULT_RUN_MS
         if self._count_by_route.get(job.route, 0) < _MIN_OBSERVATIONS:
             return estimate
-        return (estimate + self._mean_by_route[job.route]) / 2
+        kind = (job.route, step.image)
+        if self._run_times.count(kind) < _MIN_OBSERVATIONS:
+            kind = (job.route, "")
+        median_s = self._run_times.quantile(kind, _MEDIAN)
+        if median_s is None:
+            return estimate
+        return (estimate + median_s * _MS_PER_S) / 2
 
     def critical_path_ms(self, job: Job, start: int) -> float:
         """Return the length of the critical path from a step to the end.
--- a/test/daemon/jobs/test_progress_observer.py
+++ b/test/daemon/jobs/test_progress_observer.py
@@ -4,6 +4,7 @@
 
 from persimmonyard.daemon.jobs.progress_observer import ProgressObserver
 from persimmonyard.daemon.jobs.task_run import RunState, TaskRun
+from persimmonyard.estimation import SpeedEstimate
 from persimmonyard.jobs import GANG_TASK, Step, TaskKey, UnitKey
 from persimmonyard.model import Resources
 
@@ -14,6 +15,10 @@
 class _RecordedSpeeds:
     def __init__(self):
         self.rates = []
+        self.factor_by_id = {}
+
+    def speed(self, upstream_id):
+        return SpeedEstimate(self.factor_by_id.get(upstream_id, 1.0), 1.0)
 
     def observe(self, group, upstream_id, rate, at_s):
         self.rates.append((upstream_id, round(rate, 2)))
@@ -37,7 +42,7 @@
     def test_short_run_counts_from_its_start(self):
         """A run of 2 s is over in its second listing."""
         task_run = self.run_of(0)
-        self.observer.record_start(task_run, False, 10.0)
+        self.observer.record_start(task_run, "u", False, 10.0)
         self.list_run(task_run, 46, 12.0)
         self.list_run(task_run, 100, 14.0)
         self.assertEqual(self.speeds.rates, [("u0", 23.0)])
@@ -45,7 +50,7 @@
     def test_first_listing_at_the_end_is_no_observation(self):
         """A run that waits at 100% must not seem slow."""
         task_run = self.run_of(0)
-        self.observer.record_start(task_run, False, 10.0)
+        self.observer.record_start(task_run, "u", False, 10.0)
         self.list_run(task_run, 100, 12.0)
         self.assertEqual(self.speeds.rates, [])
 
@@ -54,7 +59,7 @@
         members = [self.run_of(task, GANG) for task in range(8)]
         factors = [1.0, 0.6, 1.0, 1.6, 1.0, 0.6, 1.6, 1.0]
         for number, member in enumerate(members):
-            self.observer.record_start(member, False, 10.0 + number * 0.1)
+            self.observer.record_start(member, f"u{number}", False, 10.0 + number * 0.1)
         for member, factor in zip(members, factors, strict=True):
             self.list_run(member, int(16.5 * factor * 2.0), 12.7)
         expected = []
@@ -65,9 +70,9 @@
     def test_unknown_begin_counts_from_the_first_progress(self):
         """Waiting for the gang or a checkpoint must not count as work."""
         waiting = self.run_of(0, GANG)
-        self.observer.record_start(waiting, False, 10.0)
+        self.observer.record_start(waiting, "u", False, 10.0)
         resumed = self.run_of(1)
-        self.observer.record_start(resumed, True, 10.0)
+        self.observer.record_start(resumed, "u", True, 10.0)
         inherited = self.run_of(2)
         for task_run, percents in (
             (waiting, [0, 20, 40]),
@@ -84,7 +89,7 @@
     def test_intervals_that_are_too_short_are_combined(self):
         """Rounding and network delays must not give wrong rates."""
         task_run = self.run_of(0)
-        self.observer.record_start(task_run, False, 10.0)
+        self.observer.record_start(task_run, "u", False, 10.0)
         for percent, now in ((4, 10.3), (12, 10.35), (18, 11.0), (24, 11.5)):
             self.list_run(task_run, percent, now)
         self.assertEqual(self.speeds.rates, [("u0", 18.0)])
@@ -92,12 +97,12 @@
     def test_standstill_is_observed_only_in_a_step_that_progresses(self):
         """An upstream on which work stands still must not seem unknown."""
         slow = self.run_of(0)
-        self.observer.record_start(slow, False, 10.0)
+        self.observer.record_start(slow, "u", False, 10.0)
         self.list_run(slow, 3, 12.0)
         self.list_run(slow, 3, 14.0)
         self.assertEqual(self.speeds.rates, [])
         sound = self.run_of(1)
-        self.observer.record_start(sound, False, 10.0)
+        self.observer.record_start(sound, "u", False, 10.0)
         self.list_run(sound, 60, 14.0)
         self.list_run(slow, 3, 16.0)
         self.assertEqual(self.speeds.rates, [("u1", 15.0), ("u0", 0.67)])
@@ -108,16 +113,29 @@
         stopping.state = RunState.STOPPING
         service = self.run_of(1, Step(1, STEP.needs, long_running=True))
         for task_run in (stopping, service):
-            self.observer.record_start(task_run, False, 10.0)
+            self.observer.record_start(task_run, "u", False, 10.0)
             self.list_run(task_run, 40, 12.0)
         self.assertEqual(self.speeds.rates, [])
 
+    def test_run_times_are_those_at_reference_speed(self):
+        """Fast upstreams and waiting members must not distort run times."""
+        self.speeds.factor_by_id = {"u0": 1.6, "u7": 0.6}
+        task_run = self.run_of(0)
+        task_run.started_at = 10.0
+        self.assertEqual(self.observer.work_s(task_run, "u0", 15.0), 8.0)
+        members = [self.run_of(task, GANG) for task in range(8)]
+        for number, member in enumerate(members):
+            self.assertIsNone(self.observer.work_s(member, f"u{number}", 15.0))
+            self.observer.record_start(member, f"u{number}", False, 10.0 + number)
+        self.assertEqual(self.observer.work_s(members[0], "u0", 27.0), 6.0)
+        self.assertIsNone(self.observer.work_s(members[1], "u1", 27.0))
+
     def test_memory_is_bounded(self):
         """Gangs that never start must not be kept for the whole term."""
         for number in range(5_000):
             task_run = self.run_of(0, GANG)
             task_run.unit_key = UnitKey(f"job{number}", 0, 0, GANG_TASK)
-            self.observer.record_start(task_run, False, 10.0)
+            self.observer.record_start(task_run, "u", False, 10.0)
         self.assertLessEqual(len(self.observer._start_by_gang), 2_000)
 
 
--- a/test/jobs/test_run_time_estimator.py
+++ b/test/jobs/test_run_time_estimator.py
@@ -32,6 +32,17 @@
             self.estimator.observe(NORMAL.name, 9_000)
         self.assertEqual([10_500, 5_500, 7_000], self.paths(self.chain))
 
+    def test_images_of_a_work_class_have_their_own_run_times(self):
+        """Short and long programs of one class must not be averaged."""
+        short = job(step(estimate_ms=1_000, image="short"))
+        other = job(step(estimate_ms=1_000, image="other"))
+        for _ in range(9):
+            self.estimator.observe(NORMAL.name, 3_000, "short")
+            self.estimator.observe(NORMAL.name, 60_000, "long")
+            self.estimator.observe(NORMAL.name, 60_000, "long")
+        self.assertEqual(self.paths(short), [2_000])
+        self.assertEqual(self.paths(other), [30_500])
+
     def test_work_of_a_plan_grows_with_the_steps_of_a_job(self):
         """Guards against a plan that holds up the leader until it is replaced.
 
