Store the speeds of upstreams in the replicated state

A new leader knew no speeds and placed work as if all upstreams were equal until it had observed them again.

NoteSpeeds stores the factor of an incarnation in thousandths. It counts only while the report of this incarnation is stored, so that it ends with the report and with a new incarnation.

--- a/packages/jobs/src/persimmonyard/jobs/commands.py
+++ b/packages/jobs/src/persimmonyard/jobs/commands.py
@@ -17,7 +17,9 @@
     "ForgetUpstreams",
     "InvalidCommandError",
     "NoteSilence",
+    "NoteSpeeds",
     "NoteUpstreams",
+    "NotedSpeed",
     "PlaceRuns",
     "Placement",
     "PutConfiguration",
@@ -194,6 +196,23 @@
     upstream_ids: tuple[str, ...]
 
 
+class NotedSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """The speed of an incarnation of an upstream, in thousandths.
+
+    1,000 is the median of the fleet.
+    """
+
+    upstream_id: str
+    incarnation: int
+    factor_thousandths: int
+
+
+class NoteSpeeds(_Command, frozen=True, array_like=True, tag="spd"):
+    """Store speeds of upstreams, so that the next leader starts from them."""
+
+    speeds: tuple[NotedSpeed, ...]
+
+
 Command = (
     PutConfiguration
     | SetZone
@@ -203,6 +222,7 @@
     | EndRuns
     | ExpireJobs
     | NoteSilence
+    | NoteSpeeds
     | NoteUpstreams
     | ForgetUpstreams
 )
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -17,7 +17,9 @@
     EndRuns,
     ExpireJobs,
     ForgetUpstreams,
+    NotedSpeed,
     NoteSilence,
+    NoteSpeeds,
     NoteUpstreams,
     Placement,
     PlaceRuns,
@@ -40,6 +42,7 @@
     TaskKey,
     UnitKey,
 )
+from persimmonyard.jobs.noted_speeds import NotedSpeeds
 from persimmonyard.jobs.records import JobRecord, SeatRecord, Unit, UnitStatus
 
 __all__ = ["JobStore"]
@@ -60,6 +63,7 @@
     upstreams: list[UpstreamReport] = []
     crashes: list[UpstreamCrash] = []
     silent_upstreams: list[UpstreamReport] = []
+    speeds: list[NotedSpeed] = []
 
 
 class JobStore:
@@ -80,6 +84,7 @@
         # The last committed report of each upstream, without the fields that
         # change with every heartbeat.
         self.report_by_upstream: dict[str, UpstreamReport] = {}
+        self.noted_speeds = NotedSpeeds(self.report_by_upstream)
         # The last report of each upstream that is silent, by its address.
         self.silent_report_by_address: dict[str, UpstreamReport] = {}
         self.seats_by_upstream: dict[str, dict[tuple[TaskKey, int], SeatRecord]] = {}
@@ -113,6 +118,7 @@
             list(self.report_by_upstream.values()),
             self._crash_accounting.recent_crashes(),
             list(self.silent_report_by_address.values()),
+            self.noted_speeds.all(),
         )
         return msgspec.msgpack.encode(snapshot_data)
 
@@ -125,6 +131,7 @@
         self.report_by_upstream = {
             report.upstream_id: report for report in snapshot_data.upstreams
         }
+        self.noted_speeds = NotedSpeeds(self.report_by_upstream, snapshot_data.speeds)
         self.silent_report_by_address = {
             report.address: report for report in snapshot_data.silent_upstreams
         }
@@ -190,6 +197,10 @@
                 for run_silence in runs:
                     self._note_silence(run_silence)
                 return True
+            case NoteSpeeds(speeds):
+                for speed in speeds:
+                    self.noted_speeds.note(speed)
+                return True
             case NoteUpstreams(reports, at_ms):
                 failed_ids: list[str] = []
                 for report in reports:
@@ -237,6 +248,7 @@
         for upstream_id, other in list(self.report_by_upstream.items()):
             if other.address == report.address:
                 del self.report_by_upstream[upstream_id]
+                self.noted_speeds.forget(upstream_id)
         self.silent_report_by_address.pop(report.address, None)
         self.report_by_upstream[report.upstream_id] = report
         return self._crash_accounting.record_incarnation(report, crashed, at_ms)
@@ -276,6 +288,7 @@
         If the upstream has crashed, its successor shows this later.
         """
         report = self.report_by_upstream.pop(upstream_id, None)
+        self.noted_speeds.forget(upstream_id)
         if report is None or report.leaving:
             return
         self.silent_report_by_address.pop(report.address, None)
--- a/test/jobs/test_store.py
+++ b/test/jobs/test_store.py
@@ -13,7 +13,9 @@
     ForgetUpstreams,
     JobState,
     JobStore,
+    NotedSpeed,
     NoteSilence,
+    NoteSpeeds,
     NoteUpstreams,
     Placement,
     PlaceRuns,
@@ -255,6 +257,47 @@
         earlier = msgspec.msgpack.encode(msgspec.msgpack.decode(entry)[:2])
         self.assertEqual(NoteSilence(()), decode_command(earlier))
 
+    def test_speed_belongs_to_an_incarnation_with_a_report(self):
+        """Guards against a speed of an upstream that was replaced.
+
+        The command may be applied after the upstream has restarted.
+        """
+        speeds = (NotedSpeed("u1", 1, 600), NotedSpeed("u2", 1, 1_600))
+        self.store.execute(NoteSpeeds(speeds))
+        self.assertEqual([], self.store.noted_speeds.all())
+        self.store.execute(NoteUpstreams((report("u1"), report("u2"))))
+        self.store.execute(NoteSpeeds((*speeds, NotedSpeed("u1", 2, 5), speeds[0])))
+        self.store.execute(NoteSpeeds((NotedSpeed("u2", 1, 0),)))
+        self.assertEqual(list(speeds), self.store.noted_speeds.all())
+        self.store.execute(NoteUpstreams((report("u1", incarnation=2),)))
+        self.store.execute(NoteSpeeds(speeds[:1]))
+        self.store.execute(ForgetUpstreams(("u2",)))
+        self.store.execute(NoteUpstreams((report("u2"),)))
+        self.assertEqual([], self.store.noted_speeds.all())
+
+    def test_speeds_of_any_snapshot_are_restored(self):
+        """Guards against a state that cannot be read after an upgrade.
+
+        Earlier snapshots had no speeds; one that is cut off changes nothing.
+        """
+        speed = NotedSpeed("u1", 1, 600)
+        self.store.execute(NoteUpstreams((report("u1"),)))
+        self.store.execute(NoteSpeeds((speed,)))
+        copy = JobStore()
+        copy.restore(self.store.snapshot())
+        with self.assertRaises(msgspec.DecodeError):
+            copy.restore(self.store.snapshot()[:-3])
+        self.assertEqual([speed], copy.noted_speeds.all())
+        copy.execute(ForgetUpstreams(("u1",)))
+        self.assertEqual([], copy.noted_speeds.all())
+        data = msgspec.msgpack.decode(self.store.snapshot())
+        data["speeds"].append(["u2", 1, 1_600])
+        copy.restore(msgspec.msgpack.encode(data))
+        self.assertEqual([speed], copy.noted_speeds.all())
+        del data["speeds"]
+        copy.restore(msgspec.msgpack.encode(data))
+        self.assertEqual([], copy.noted_speeds.all())
+
     def test_leave_is_final_for_an_incarnation(self):
         """Guards against an outdated report that cancels a departure."""
         leaving = report("u1", leaving=True).stable_fields()
