--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -32,6 +32,7 @@
     call_handler,
 )
 from persimmonyard.daemon.jobs.settings import JobSettings
+from persimmonyard.daemon.jobs.speed_keeper import summarize_speeds
 from persimmonyard.daemon.jobs.stall_clock import StallClock
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
 from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
@@ -196,6 +197,17 @@
         self._metrics.add_gauge(
             "leads", "1 if this process leads.", lambda: self._replica.is_leader()
         )
+        self._metrics.add_gauge(
+            "upstreams_of_known_speed",
+            "Upstreams with a known speed; 0 if this process does not lead.",
+            lambda: summarize_speeds(self.leader_term).known,
+        )
+        self._metrics.add_gauge_family(
+            "upstream_speeds",
+            "Upstreams with a known speed up to a multiple of the median.",
+            "le",
+            lambda: summarize_speeds(self.leader_term).count_by_bound,
+        )
         addresses = self._settings.addresses
         self._inspection = inspection_server(
             self._metrics,
--- a/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
@@ -40,6 +40,7 @@
     now = term.now()
     for upstream_id, upstream in term.fleet.by_id.items():
         session = term.find_session(upstream.report.upstream_id)
+        speed = term.speeds.speed(upstream_id)
         upstreams[upstream_id] = {
             "zone": upstream.report.zone,
             "incarnation": upstream.report.incarnation,
@@ -47,6 +48,8 @@
             "gone": upstream.gone,
             "heard_s_ago": round(now - upstream.last_seen_at, 3),
             "avoided_s": round(max(0.0, upstream.avoid_until - now), 3),
+            "speed": round(speed.factor, 3),
+            "speed_weight": round(speed.weight, 2),
             "runs": len(session.task_run_by_key) if session is not None else 0,
         }
     return {"term": term.fence, "upstreams": upstreams}
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -15,6 +15,7 @@
 from persimmonyard.daemon.jobs.report_filter import ReportFilter
 from persimmonyard.daemon.jobs.run_supervisor import RunSupervisor
 from persimmonyard.daemon.jobs.session import UpstreamSession
+from persimmonyard.daemon.jobs.speed_keeper import SpeedKeeper
 from persimmonyard.daemon.jobs.task_run import TaskRun
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
 from persimmonyard.daemon.jobs.upstream_guard import UpstreamGuard
@@ -97,6 +98,7 @@
         self._health = UpstreamHealth()
         self.speeds = SpeedModel()
         self.progress_observer = ProgressObserver(self.speeds)
+        self.speed_keeper = SpeedKeeper(self)
         self._planning_loop = PlanningLoop(self, self._estimator, self.speeds)
         self._drainer = UpstreamDrainer(self, self._estimator)
         self._upstream_registry = UpstreamRegistry(
@@ -124,16 +126,19 @@
         upstream_count = self._upstream_registry.restore(
             self.durations.lease_ms, valid_until, self._report_filter.restores
         )
+        speed_count = self.speed_keeper.restore()
         run_count = self.supervisor.take_over()
         self.log.info(
             "leadership begins",
             jobs=len(self.store.job_by_id),
             runs=run_count,
             upstreams=upstream_count,
+            speeds=speed_count,
         )
         self.spawn(self._upstream_registry.run())
         self.spawn(self._planning_loop.run())
         self.spawn(self._expiry.run())
+        self.spawn(self.speed_keeper.run())
 
     def close(self) -> None:
         """Cancel all tasks of this term."""
@@ -208,6 +213,7 @@
             return
         upstream, new = self.fleet.observe(report, self.now())
         if new:
+            self.speed_keeper.forget(report.upstream_id)
             self.log.info(
                 "upstream appears",
                 upstream=report.upstream_id,
@@ -392,6 +398,7 @@
         session = self._session_by_id.pop(upstream_id, None)
         if session is not None:
             session.close()
+        self.speed_keeper.forget(upstream_id)
         self.log.info("upstream forgotten", upstream=upstream_id)
 
     def request_plan(self) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/metrics.py
+++ b/packages/daemon/src/persimmonyard/daemon/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a process in the Prometheus text format."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -16,16 +16,34 @@
     def __init__(self) -> None:
         self._registry = Registry()
         self._gauge_readers: list[tuple[Gauge, Callable[[], float]]] = []
+        self._family_readers: list[
+            tuple[Gauge, str, Callable[[], Mapping[str, float]]]
+        ] = []
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge with the value that ``read`` returns at each scrape."""
         gauge = Gauge(f"persimmonyard_{name}", help_text, registry=self._registry)
         self._gauge_readers.append((gauge, read))
 
+    def add_gauge_family(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Add a gauge for each value of a label that ``read`` returns."""
+        gauge = Gauge(f"persimmonyard_{name}", help_text, registry=self._registry)
+        self._family_readers.append((gauge, label, read))
+
     def text(self) -> tuple[bytes, str]:
         """Return the body and the content type of ``GET /metrics``."""
         for gauge, read in self._gauge_readers:
             gauge.set({}, float(read()))
+        for gauge, label, read_family in self._family_readers:
+            gauge.values.clear()
+            for value, number in read_family().items():
+                gauge.set({label: value}, float(number))
         content, _ = render(self._registry, [CONTENT_TYPE])
         return content, CONTENT_TYPE
 
