--- a/packages/daemon/src/persimmonyard/daemon/jobs/speed_keeper.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/speed_keeper.py
@@ -1,6 +1,8 @@
 """Stores the speeds of upstreams for the next leader, and reports them."""
 
 import asyncio
+import bisect
+import heapq
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -128,8 +130,8 @@
                 to_note.append(unnoted)
         self.summary = _summarize(factors)
         self._log_changes(to_log)
-        to_note.sort(key=_Change.size, reverse=True)
-        speeds = tuple(change.noted_speed() for change in to_note[:_MAX_NOTED])
+        largest = heapq.nlargest(_MAX_NOTED, to_note, key=_Change.size)
+        speeds = tuple(change.noted_speed() for change in largest)
         if speeds:
             await self._term.propose(NoteSpeeds(speeds))
 
@@ -153,12 +155,12 @@
         """Log one line for all changes since the last one."""
         if not changes:
             return
-        changes.sort(key=_Change.size, reverse=True)
+        largest = heapq.nlargest(_MAX_LOGGED, changes, key=_Change.size)
         self._term.log.info(
             "upstream speeds changed",
             changed=len(changes),
             known=self.summary.known,
-            upstreams=[change.describe() for change in changes[:_MAX_LOGGED]],
+            upstreams=[change.describe() for change in largest],
         )
 
 
@@ -170,8 +172,9 @@
 
 
 def _summarize(factors: list[float]) -> SpeedSummary:
+    factors.sort()
     count_by_bound = {}
     for bound in _SPEED_BOUNDS:
-        count_by_bound[str(bound)] = sum(factor <= bound for factor in factors)
+        count_by_bound[str(bound)] = bisect.bisect_right(factors, bound)
     count_by_bound["+Inf"] = len(factors)
     return SpeedSummary(len(factors), count_by_bound)
