--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -15,13 +15,14 @@
 from persimmonyard.daemon.jobs.report_filter import ReportFilter
 from persimmonyard.daemon.jobs.run_supervisor import RunSupervisor
 from persimmonyard.daemon.jobs.session import UpstreamSession
+from persimmonyard.daemon.jobs.speed_keeper import SpeedKeeper
 from persimmonyard.daemon.jobs.task_run import TaskRun
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
 from persimmonyard.daemon.jobs.upstream_guard import UpstreamGuard
 from persimmonyard.daemon.jobs.upstream_registry import UpstreamRegistry
 from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
 from persimmonyard.daemon.logs import get_logger
-from persimmonyard.estimation import SpeedModel
+from persimmonyard.estimation import RunTimes, SpeedModel
 from persimmonyard.jobs import (
     Command,
     EndRuns,
@@ -92,10 +93,12 @@
         # process then replaces this object by a new one.
         self.failed = False
         self.propose = propose
-        self._estimator = RunTimeEstimator()
+        self.run_times = RunTimes()
+        self._estimator = RunTimeEstimator(self.run_times)
         self._health = UpstreamHealth()
         self.speeds = SpeedModel()
         self.progress_observer = ProgressObserver(self.speeds)
+        self.speed_keeper = SpeedKeeper(self)
         self._planning_loop = PlanningLoop(self, self._estimator, self.speeds)
         self._drainer = UpstreamDrainer(self, self._estimator)
         self._upstream_registry = UpstreamRegistry(
@@ -123,16 +126,19 @@
         upstream_count = self._upstream_registry.restore(
             self.durations.lease_ms, valid_until, self._report_filter.restores
         )
+        speed_count = self.speed_keeper.restore()
         run_count = self.supervisor.take_over()
         self.log.info(
             "leadership begins",
             jobs=len(self.store.job_by_id),
             runs=run_count,
             upstreams=upstream_count,
+            speeds=speed_count,
         )
         self.spawn(self._upstream_registry.run())
         self.spawn(self._planning_loop.run())
         self.spawn(self._expiry.run())
+        self.spawn(self.speed_keeper.run())
 
     def close(self) -> None:
         """Cancel all tasks of this term."""
@@ -207,6 +213,7 @@
             return
         upstream, new = self.fleet.observe(report, self.now())
         if new:
+            self.speed_keeper.forget(report.upstream_id)
             self.log.info(
                 "upstream appears",
                 upstream=report.upstream_id,
@@ -360,13 +367,11 @@
             self._health.record_success(upstream_id)
             if upstream is not None:
                 upstream.failing = False
-            started_at = task_run.started_at
-            if (
-                record is not None
-                and started_at is not None
-                and not task_run.checkpoint
-            ):
-                self._estimator.observe(record.job.route, (now - started_at) * 1_000)
+            work_s = self.progress_observer.work_s(task_run, upstream_id, now)
+            if record is not None and work_s is not None:
+                self._estimator.observe(
+                    record.job.route, work_s * 1_000, task_run.step.image
+                )
         if end.end == TaskEnd.FAILED:
             avoid_s = self._health.record_failure(upstream_id, end.key.job_id)
             if upstream is not None:
@@ -393,6 +398,7 @@
         session = self._session_by_id.pop(upstream_id, None)
         if session is not None:
             session.close()
+        self.speed_keeper.forget(upstream_id)
         self.log.info("upstream forgotten", upstream=upstream_id)
 
     def request_plan(self) -> None:
