Show the use, limits and shares of accounts

Operators and callers could not tell that a job waits for the limit of its account. /explain of a job names the limit, and has the account's use, limit, share and waiting units; the leader exports the same as gauges with labels. Gauges escape label values, which the library does not: an account's name may contain a quote or a line break.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -15,6 +15,7 @@
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.disk_log import log_disk_event
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.jobs.account_overview import add_account_gauges
 from persimmonyard.daemon.jobs.durations import derive_durations
 from persimmonyard.daemon.jobs.inspection import describe_term, inspection_server
 from persimmonyard.daemon.jobs.job_service import JobService
@@ -196,6 +197,7 @@
         self._metrics.add_gauge(
             "leads", "1 if this process leads.", lambda: self._replica.is_leader()
         )
+        add_account_gauges(self._metrics, lambda: self.leader_term)
         addresses = self._settings.addresses
         self._inspection = inspection_server(
             self._metrics,
--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from persimmonyard.daemon.jobs.explanation import explain_job
+from persimmonyard.daemon.jobs.explanation import JobExplanation, explain_job
 from persimmonyard.daemon.jobs.leader_term import LeaderTerm
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.rpc import (
@@ -21,6 +21,7 @@
     CancelJob,
     InvalidCommandError,
     JobConfiguration,
+    JobRecord,
     JobStore,
     NoteUpstreams,
     PutConfiguration,
@@ -31,6 +32,7 @@
     configuration_problem,
     encode_command,
     job_problem,
+    limit_reason,
 )
 from persimmonyard.replication import NotLeaderError, OutcomeUnknownError
 
@@ -126,7 +128,7 @@
             return CallReply(Outcome.NO_JOB)
         content = b""
         if call.verb == Verb.EXPLAIN:
-            content = msgspec.json.encode(explain_job(record))
+            content = msgspec.json.encode(_explain(record, term))
         return CallReply(Outcome.OK, state=str(record.state()), content=content)
 
     def _resolve(self, call: JobCall) -> _ResolvedCall | CallReply:
@@ -226,6 +228,13 @@
         self._log.info("zone changed", zone=zone, out=out)
 
 
+def _explain(record: JobRecord, term: LeaderTerm) -> JobExplanation:
+    account = record.job.account
+    status = term.accounts.status(account) if account else None
+    limit = limit_reason(term.store, record, term.wall_clock.now_ms())
+    return explain_job(record, limit, status)
+
+
 def _should_log(call: JobCall, reply: CallReply) -> bool:
     """Return whether to log an answer.
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from persimmonyard.daemon.jobs.account_overview import AccountOverview
 from persimmonyard.daemon.jobs.draining import UpstreamDrainer
 from persimmonyard.daemon.jobs.durations import Durations
 from persimmonyard.daemon.jobs.expiry import Expiry
@@ -112,6 +113,7 @@
         self.job_log = JobLog(self.log, store, self._estimator, metrics)
         self.supervisor = RunSupervisor(self)
         self._expiry = Expiry(self)
+        self.accounts = AccountOverview(self)
         self._session_by_id: dict[str, UpstreamSession] = {}
         self._tasks: set[asyncio.Task] = set()
 
--- a/packages/daemon/src/persimmonyard/daemon/metrics.py
+++ b/packages/daemon/src/persimmonyard/daemon/metrics.py
@@ -1,31 +1,68 @@
 """Metrics of a process in the Prometheus text format."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-__all__ = ["EntryMetrics", "ProcessMetrics"]
+__all__ = ["EntryMetrics", "GaugeValue", "ProcessMetrics"]
 
 LATENCY_BUCKETS_S = [0.005, 0.02, 0.1, 0.5, 2.0, 7.3, 30.0, 120.0]
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
 
+class GaugeValue(NamedTuple):
+    """The value of a gauge for its labels."""
+
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
+def _escape(text: str) -> str:
+    """Return a label value with the escapes that the library leaves out."""
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 class ProcessMetrics:
     """Gauges whose values are read when the metrics are scraped."""
 
     def __init__(self) -> None:
         self._registry = Registry()
         self._gauge_readers: list[tuple[Gauge, Callable[[], float]]] = []
+        self._group_readers: list[
+            tuple[dict[str, Gauge], Callable[[], Iterable[GaugeValue]]]
+        ] = []
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge with the value that ``read`` returns at each scrape."""
         gauge = Gauge(f"persimmonyard_{name}", help_text, registry=self._registry)
         self._gauge_readers.append((gauge, read))
 
+    def add_gauges(
+        self, help_by_name: dict[str, str], read: Callable[[], Iterable[GaugeValue]]
+    ) -> None:
+        """Add gauges with labels, which ``read`` returns at each scrape.
+
+        Label values that it no longer returns are no longer exported.
+        """
+        gauges = {}
+        for name, help_text in help_by_name.items():
+            gauges[name] = Gauge(
+                f"persimmonyard_{name}", help_text, registry=self._registry
+            )
+        self._group_readers.append((gauges, read))
+
     def text(self) -> tuple[bytes, str]:
         """Return the body and the content type of ``GET /metrics``."""
         for gauge, read in self._gauge_readers:
             gauge.set({}, float(read()))
+        for gauges, read_group in self._group_readers:
+            for gauge in gauges.values():
+                gauge.values.store.clear()
+            for value in read_group():
+                labels = {key: _escape(text) for key, text in value.labels.items()}
+                gauges[value.name].set(labels, value.value)
         content, _ = render(self._registry, [CONTENT_TYPE])
         return content, CONTENT_TYPE
 
--- a/packages/decisions/src/persimmonyard/decisions/__init__.py
+++ b/packages/decisions/src/persimmonyard/decisions/__init__.py
@@ -1,5 +1,17 @@
 """Scheduling decisions on facts, without a store, a clock or a network."""
 
+from persimmonyard.decisions.quota import (
+    NO_RESOURCES,
+    AccountUse,
+    JobRate,
+    OverLimit,
+    ShareRank,
+    WithinLimit,
+    decide_quota,
+    dominant_share,
+    entitled_shares,
+    share_rank,
+)
 from persimmonyard.decisions.seat_speed import (
     FastestFirst,
     SlowestFirst,
@@ -11,11 +23,21 @@
 )
 
 __all__ = [
+    "NO_RESOURCES",
+    "AccountUse",
     "FastestFirst",
+    "JobRate",
+    "OverLimit",
+    "ShareRank",
     "SlowestFirst",
     "SpeedOrder",
     "UnitPace",
+    "WithinLimit",
     "choose_speed_order",
+    "decide_quota",
+    "dominant_share",
+    "entitled_shares",
     "idle_share",
+    "share_rank",
     "speed_level",
 ]
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -5,6 +5,12 @@
 other classes.
 """
 
+from persimmonyard.jobs.account_shares import total_capacity
+from persimmonyard.jobs.account_status import (
+    AccountStatus,
+    account_statuses,
+    limit_reason,
+)
 from persimmonyard.jobs.capacity import charged_resources
 from persimmonyard.jobs.changes import Change, JobEnded, RunPlaced, TaskEnded
 from persimmonyard.jobs.commands import (
@@ -66,6 +72,7 @@
 __all__ = [
     "GANG_TASK",
     "AccountSpec",
+    "AccountStatus",
     "Answer",
     "CancelJob",
     "Change",
@@ -117,6 +124,7 @@
     "Upstream",
     "UpstreamHealth",
     "UpstreamReport",
+    "account_statuses",
     "charged_resources",
     "configuration_problem",
     "decide_without_leader",
@@ -124,4 +132,6 @@
     "encode_command",
     "is_upstream_report",
     "job_problem",
+    "limit_reason",
+    "total_capacity",
 ]
--- a/packages/jobs/src/persimmonyard/jobs/account_rates.py
+++ b/packages/jobs/src/persimmonyard/jobs/account_rates.py
@@ -1,6 +1,6 @@
 """The rate of jobs to which each client account is entitled."""
 
-from persimmonyard.decisions.quota import JobRate
+from persimmonyard.decisions import JobRate
 from persimmonyard.jobs.configuration import JobConfiguration
 from persimmonyard.jobs.model import Job
 
--- a/packages/jobs/src/persimmonyard/jobs/account_shares.py
+++ b/packages/jobs/src/persimmonyard/jobs/account_shares.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Iterable
 
-from persimmonyard.decisions.quota import ShareRank, entitled_shares, share_rank
+from persimmonyard.decisions import ShareRank, entitled_shares, share_rank
 from persimmonyard.jobs.account_usage import AccountUsage
 from persimmonyard.jobs.fleet import UpstreamReport
 from persimmonyard.jobs.waiting_queue import WaitingUnits
@@ -37,7 +37,7 @@
 
 
 def order_by_share(
-    ready: list[WaitingUnits], usage: AccountUsage, capacity: Resources
+    ready: list[WaitingUnits], usage: AccountUsage, reports: Iterable[UpstreamReport]
 ) -> list[WaitingUnits]:
     """Return units in queue order, accounts below their share first.
 
@@ -46,11 +46,13 @@
     accounts below their share come before the others.  Work within a
     guarantee keeps its order, and without weights everything does.
 
-    An account's share is that at the beginning of a plan.  What the plan
+    ``reports`` are those of the upstreams whose capacity is shared.  An
+    account's share is that at the beginning of a plan.  What the plan
     itself places counts in the next one.
     """
     if not usage.weight_by_name:
         return ready
+    capacity = total_capacity(reports)
     accounts = [waiting.record.job.account for waiting in ready]
     rank_by_account: dict[str, ShareRank] = {}
     entitlements = account_entitlements(usage, accounts)
--- a/packages/jobs/src/persimmonyard/jobs/account_usage.py
+++ b/packages/jobs/src/persimmonyard/jobs/account_usage.py
@@ -6,7 +6,7 @@
 that a new leader has the same one.
 """
 
-from persimmonyard.decisions.quota import (
+from persimmonyard.decisions import (
     NO_RESOURCES,
     AccountUse,
     OverLimit,
@@ -93,6 +93,10 @@
         """Return the configuration of an account, or one without a limit."""
         return self._spec_by_name.get(name, _NO_SPEC)
 
+    def configured_names(self) -> list[str]:
+        """Return the accounts of the configuration."""
+        return list(self._spec_by_name)
+
     def names_in_use(self) -> list[str]:
         """Return the accounts that have something running."""
         return list(self._used_by_name)
@@ -101,6 +105,14 @@
         """Decide whether an account may start one more unit of a step."""
         return decide_quota(self.use(name), step.needs, unit_tasks(step))
 
+    def can_never_start(self, name: str, step: Step) -> bool:
+        """Return whether one unit of a step alone exceeds the limit.
+
+        It cannot start under this configuration.
+        """
+        use = AccountUse(NO_RESOURCES, self.spec(name).limit)
+        return isinstance(decide_quota(use, step.needs, unit_tasks(step)), OverLimit)
+
 
 class PlannedUsage:
     """What accounts have running, including what one plan will start.
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -209,6 +209,14 @@
             return False
         return self.is_report_valid(upstream, now)
 
+    def available_reports(self, now: float) -> list[UpstreamReport]:
+        """Return the reports of the upstreams that are available."""
+        return [
+            upstream.report
+            for upstream in self.by_id.values()
+            if self.is_available(upstream, now)
+        ]
+
     def is_report_valid(self, upstream: Upstream, now: float) -> bool:
         """Return whether the capacity in the last report still counts."""
         if now > upstream.valid_until:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -8,10 +8,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from persimmonyard.decisions import speed_level
-from persimmonyard.decisions.quota import OverLimit
+from persimmonyard.decisions import OverLimit, speed_level
 from persimmonyard.estimation import SpeedModel
-from persimmonyard.jobs.account_shares import order_by_share, total_capacity
+from persimmonyard.jobs.account_shares import order_by_share
 from persimmonyard.jobs.account_usage import PlannedUsage
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
@@ -129,10 +128,8 @@
             return plan
         capacity_by_id = self._current_capacity(runs, now, wall_ms)
         limit_watched(capacity_by_id)
-        capacity = total_capacity(
-            candidate.upstream.report for candidate in capacity_by_id.values()
-        )
-        ready = order_by_share(ready, self._store.account_usage, capacity)
+        reports = (candidate.upstream.report for candidate in capacity_by_id.values())
+        ready = order_by_share(ready, self._store.account_usage, reports)
         seating = SeatAssigner(self._store, self._estimator, capacity_by_id, wall_ms)
         self._separation.forget_placed(
             key for waiting in ready for key, _ in waiting.units
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from persimmonyard.decisions.quota import JobRate, OverLimit
+from persimmonyard.decisions import JobRate, OverLimit
 from persimmonyard.jobs.account_rates import AccountRates
 from persimmonyard.jobs.account_usage import AccountUsage
 from persimmonyard.jobs.changes import Change, JobEnded, RunPlaced, TaskEnded
