--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -15,6 +15,7 @@
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.disk_log import log_disk_event
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.jobs.account_overview import add_account_gauges
 from persimmonyard.daemon.jobs.durations import derive_durations
 from persimmonyard.daemon.jobs.inspection import describe_term, inspection_server
 from persimmonyard.daemon.jobs.job_service import JobService
@@ -32,7 +33,7 @@
     call_handler,
 )
 from persimmonyard.daemon.jobs.settings import JobSettings
-from persimmonyard.daemon.jobs.speed_keeper import summarize_speeds
+from persimmonyard.daemon.jobs.speed_keeper import add_speed_gauges
 from persimmonyard.daemon.jobs.stall_clock import StallClock
 from persimmonyard.daemon.jobs.upstream_client import UpstreamClient
 from persimmonyard.daemon.jobs.wall_clock import SteadyWallClock
@@ -197,17 +198,8 @@
         self._metrics.add_gauge(
             "leads", "1 if this process leads.", lambda: self._replica.is_leader()
         )
-        self._metrics.add_gauge(
-            "upstreams_of_known_speed",
-            "Upstreams with a known speed; 0 if this process does not lead.",
-            lambda: summarize_speeds(self.leader_term).known,
-        )
-        self._metrics.add_gauge_family(
-            "upstream_speeds",
-            "Upstreams with a known speed up to a multiple of the median.",
-            "le",
-            lambda: summarize_speeds(self.leader_term).count_by_bound,
-        )
+        add_account_gauges(self._metrics, lambda: self.leader_term)
+        add_speed_gauges(self._metrics, lambda: self.leader_term)
         addresses = self._settings.addresses
         self._inspection = inspection_server(
             self._metrics,
--- a/packages/daemon/src/persimmonyard/daemon/jobs/speed_keeper.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/speed_keeper.py
@@ -4,14 +4,16 @@
 import bisect
 import heapq
 import math
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
+from persimmonyard.daemon.metrics import GaugeValue, ProcessMetrics
 from persimmonyard.jobs import NotedSpeed, NoteSpeeds, UpstreamReport
 
 if TYPE_CHECKING:
     from persimmonyard.daemon.jobs.leader_term import LeaderTerm
 
-__all__ = ["SpeedKeeper", "SpeedSummary", "summarize_speeds"]
+__all__ = ["SpeedKeeper", "SpeedSummary", "add_speed_gauges", "summarize_speeds"]
 
 # Interval of the commands that store speeds, in seconds.
 _NOTE_INTERVAL_S = 5.0
@@ -33,6 +35,12 @@
 _EXAMINED_AT_ONCE = 500
 # Upper bounds of the speeds that are counted for the metrics.
 _SPEED_BOUNDS = (0.25, 0.5, 0.7, 0.9, 1.1, 1.4, 1.8)
+_HELP_BY_GAUGE = {
+    "upstreams_of_known_speed": (
+        "Upstreams with a known speed; 0 if this process does not lead."
+    ),
+    "upstream_speeds": "Upstreams with a known speed up to a multiple of the median.",
+}
 
 
 class SpeedSummary(NamedTuple):
@@ -164,6 +172,20 @@
         )
 
 
+def add_speed_gauges(
+    metrics: ProcessMetrics, leader_term: "Callable[[], LeaderTerm | None]"
+) -> None:
+    """Export how many upstreams have a known speed, and up to which bounds."""
+
+    def read() -> Iterator[GaugeValue]:
+        summary = summarize_speeds(leader_term())
+        yield GaugeValue("upstreams_of_known_speed", {}, summary.known)
+        for bound, count in summary.count_by_bound.items():
+            yield GaugeValue("upstream_speeds", {"le": bound}, count)
+
+    metrics.add_gauges(_HELP_BY_GAUGE, read)
+
+
 def summarize_speeds(leader_term: "LeaderTerm | None") -> SpeedSummary:
     """Return the summary of a term, or an empty one without a term."""
     if leader_term is None:
