Add a model of the slowdown between kinds of tasks

Cause: tasks of some kinds slow each other down on one upstream, and nothing in the service learns which. The model takes the ratio of two rates of a run with the share of the time in which each kind was there, before and after. Each upstream counts once for a pair, and a pair that a quarter of the upstreams contradicts is not known, so that an upstream that becomes slow as a whole makes no pair known.

--- a/packages/estimation/src/persimmonyard/estimation/__init__.py
+++ b/packages/estimation/src/persimmonyard/estimation/__init__.py
@@ -5,6 +5,14 @@
 """
 
 from persimmonyard.estimation.run_times import RunTimes
+from persimmonyard.estimation.slowdown import KnownPair, SlowdownEstimate, SlowdownModel
 from persimmonyard.estimation.speeds import SpeedEstimate, SpeedModel
 
-__all__ = ["RunTimes", "SpeedEstimate", "SpeedModel"]
+__all__ = [
+    "KnownPair",
+    "RunTimes",
+    "SlowdownEstimate",
+    "SlowdownModel",
+    "SpeedEstimate",
+    "SpeedModel",
+]
