Keep tasks apart that slow each other down, where there is room

Cause: best fit puts tasks of kinds that slow each other down on one upstream while others have room. Among seats of the same rack, speed and rank for suspects, one where neither the new task nor its neighbours are slowed comes before a better filled one; if all are, the least slowed comes first. Without a known pair the rank is as before.

--- a/packages/decisions/src/persimmonyard/decisions/__init__.py
+++ b/packages/decisions/src/persimmonyard/decisions/__init__.py
@@ -9,13 +9,25 @@
     idle_share,
     speed_level,
 )
+from persimmonyard.decisions.separation import (
+    Effect,
+    Slowed,
+    Undisturbed,
+    decide_separation,
+    effects_on,
+)
 
 __all__ = [
+    "Effect",
     "FastestFirst",
+    "Slowed",
     "SlowestFirst",
     "SpeedOrder",
+    "Undisturbed",
     "UnitPace",
     "choose_speed_order",
+    "decide_separation",
+    "effects_on",
     "idle_share",
     "speed_level",
 ]
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -43,6 +43,7 @@
 from persimmonyard.jobs.fleet import Fleet, Upstream, UpstreamReport
 from persimmonyard.jobs.health import UpstreamHealth
 from persimmonyard.jobs.job_checks import job_problem
+from persimmonyard.jobs.kinds import task_kind
 from persimmonyard.jobs.leader_wait import (
     ComeBack,
     KeepWaiting,
@@ -128,4 +129,5 @@
     "encode_command",
     "is_upstream_report",
     "job_problem",
+    "task_kind",
 ]
--- a/packages/jobs/src/persimmonyard/jobs/capacity.py
+++ b/packages/jobs/src/persimmonyard/jobs/capacity.py
@@ -26,8 +26,9 @@
     other units in this plan.  ``runs`` is the number of its runs, the last of
     them placed at ``placed_ms``, and ``watched`` is true while one of them may
     crash it.  ``unstable`` is true if it has crashed lately.  A ``doubtful``
-    upstream may not start work, or fail it.
-    ``speed_level`` is the level of its speed, 0 at the reference speed.
+    upstream may not start work, or fail it.  ``speed_level`` is the level of
+    its speed, 0 at the reference speed.  ``kinds`` counts the tasks by kind,
+    those of the plan included, and is None until it is needed.
     """
 
     upstream: Upstream
@@ -40,6 +41,7 @@
     unstable: bool = False
     doubtful: bool = False
     speed_level: int = 0
+    kinds: dict[str, int] | None = None
 
 
 def charged_resources(step: Step) -> Resources:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -5,10 +5,11 @@
 """
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from persimmonyard.decisions import speed_level
+from persimmonyard.decisions import Effect, speed_level
 from persimmonyard.decisions.quota import OverLimit
 from persimmonyard.estimation import SpeedModel
 from persimmonyard.jobs.account_shares import order_by_share, total_capacity
@@ -31,6 +32,7 @@
 from persimmonyard.jobs.crashes import on_probation
 from persimmonyard.jobs.fleet import Fleet
 from persimmonyard.jobs.guarantees import GuaranteedJobs
+from persimmonyard.jobs.interference import Interference
 from persimmonyard.jobs.model import GANG_TASK, UnitKey
 from persimmonyard.jobs.preemption import Reservation, RunProgress, VictimSelector
 from persimmonyard.jobs.records import Unit
@@ -74,6 +76,10 @@
     # Whether the plan ended at its limit of tasks or time, so that another
     # plan may place more units immediately.
     truncated: bool = False
+    # Seats where the task and its neighbours are not slowed down although a
+    # better filled upstream had room, and seats where one of them is.
+    seats_kept_apart: int = 0
+    seats_shared: int = 0
 
 
 class Planner:
@@ -89,9 +95,12 @@
         fleet: Fleet,
         estimator: RunTimeEstimator,
         speeds: SpeedModel | None = None,
+        effects: Callable[[], tuple[Effect, ...]] = tuple,
     ):
+        """Create a planner; ``effects`` returns the known slowdowns."""
         self._speeds = speeds
         self._store = store
+        self._effects = effects
         self._fleet = fleet
         self._estimator = estimator
         self._queue = WaitingQueue(store, estimator)
@@ -133,7 +142,10 @@
             candidate.upstream.report for candidate in capacity_by_id.values()
         )
         ready = order_by_share(ready, self._store.account_usage, capacity)
-        seating = SeatAssigner(self._store, self._estimator, capacity_by_id, wall_ms)
+        interference = Interference(self._store, self._effects())
+        seating = SeatAssigner(
+            self._store, self._estimator, capacity_by_id, wall_ms, interference
+        )
         self._separation.forget_placed(
             key for waiting in ready for key, _ in waiting.units
         )
@@ -182,6 +194,8 @@
                         reserve_seats(seats, capacity_by_id)
                     plan.placements.append(Placement(key, unit.run + 1, tuple(seats)))
                     planned_usage.add(account, waiting.step)
+                    plan.seats_kept_apart = interference.kept_apart
+                    plan.seats_shared = interference.shared
                     tasks_left -= len(seats)
                     continue
                 if shape_is_decisive:
--- a/packages/jobs/src/persimmonyard/jobs/seating.py
+++ b/packages/jobs/src/persimmonyard/jobs/seating.py
@@ -26,6 +26,7 @@
 from persimmonyard.jobs.commands import Seat
 from persimmonyard.jobs.crash_isolation import rank_for_suspect
 from persimmonyard.jobs.guarantees import GUARANTEED_WAIT_S
+from persimmonyard.jobs.interference import Interference
 from persimmonyard.jobs.model import GANG_TASK, Step, UnitKey
 from persimmonyard.jobs.records import Unit
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
@@ -67,11 +68,17 @@
 
 
 class _AssignedSeat(NamedTuple):
-    """A seat that was taken, and when its upstream got the one before."""
+    """A seat that was taken, and when its upstream got the one before.
+
+    ``kept_apart`` is true if a better filled upstream was passed over because
+    tasks would slow each other down there, and ``shared`` if they do here.
+    """
 
     seat: Seat
     candidate: UpstreamCapacity
     placed_before_ms: int
+    kept_apart: bool
+    shared: bool
 
 
 class SeatAssigner:
@@ -86,8 +93,10 @@
         estimator: RunTimeEstimator,
         capacity_by_id: dict[str, UpstreamCapacity],
         wall_ms: int,
+        interference: Interference,
     ):
         self._store = store
+        self._interference = interference
         self._estimator = estimator
         self._wall_ms = wall_ms
         self._half_free = half_free(capacity_by_id)
@@ -154,7 +163,9 @@
 
     def _take_seats(self, choice: _GroupChoice) -> list[Seat]:
         assigned = self._assign_tasks(choice.unit_tasks, choice.members)
-        return [seat for seat, _, _ in assigned]
+        self._interference.kept_apart += sum(taken.kept_apart for taken in assigned)
+        self._interference.shared += sum(taken.shared for taken in assigned)
+        return [taken.seat for taken in assigned]
 
     def fast_enough(
         self, waiting: WaitingUnits, candidates: list[UpstreamCapacity]
@@ -196,7 +207,7 @@
             if not assigned:
                 continue
             self._release(unit_tasks, assigned)
-            share = idle_share([candidate.speed_level for _, candidate, _ in assigned])
+            share = idle_share([taken.candidate.speed_level for taken in assigned])
             if best is None or share < best.idle_share - _MAX_IDLE_SHARE:
                 best = _GroupChoice(share, unit_tasks, members)
             if best.idle_share <= _MAX_IDLE_SHARE:
@@ -210,7 +221,8 @@
 
         With ``apart`` the tasks go where the fewest others run.  The members
         of a gang go to the slowest candidates, because one that is faster than
-        another only waits for it.
+        another only waits for it.  Among candidates of the same speed, those
+        where no task is slowed down by another come first.
         """
         key, step, tasks, apart, order = unit_tasks
         fastest_first = isinstance(order, FastestFirst) and len(tasks) == 1
@@ -218,8 +230,13 @@
         count_by_id = self._task_counts(key, step)
         assigned: list[_AssignedSeat] = []
         free_by_rack = self._free_by_rack
+        interference = self._interference
+        effects = interference.effects_on(key, step)
         for task in tasks:
             best = None
+            # The ranks of candidates where a task would be slowed down, as if
+            # none were.
+            disturbed: list[tuple] = []
             for candidate in candidates:
                 report = candidate.upstream.report
                 if not needs.fits(candidate.free) or not needs.fits(
@@ -236,17 +253,28 @@
                 rank = (
                     rank_for_suspect(candidate, self._wall_ms) if apart else (),
                     -level if fastest_first else level,
+                    0.0,
                     candidate.free.accelerators,
                     free_by_rack[report.rack],
                     candidate.free.cores,
                     report.upstream_id,
                 )
-                if best is None or rank < best[0]:
-                    best = (rank, candidate)
+                if best is not None and best[0] < rank:
+                    continue
+                if effects:
+                    loss = interference.loss(candidate, effects)
+                    if loss:
+                        disturbed.append(rank)
+                        rank = (*rank[:2], loss, *rank[3:])
+                        if best is not None and best[0] < rank:
+                            continue
+                best = (rank, candidate)
             if best is None:
                 self._release(unit_tasks, assigned)
                 return []
-            candidate = best[1]
+            rank, candidate = best
+            shared = rank[2] > 0.0
+            kept_apart = not shared and any(other < rank for other in disturbed)
             report = candidate.upstream.report
             candidate.free = candidate.free.minus(needs)
             candidate.future_free = candidate.future_free.minus(needs)
@@ -254,6 +282,7 @@
             count_by_id[report.upstream_id] = count_by_id.get(report.upstream_id, 0) + 1
             placed_before_ms = candidate.placed_ms
             candidate.placed_ms = self._wall_ms
+            interference.add(candidate, key, step, 1)
             seat = Seat(
                 task,
                 report.upstream_id,
@@ -261,14 +290,17 @@
                 report.address,
                 report.zone,
             )
-            assigned.append(_AssignedSeat(seat, candidate, placed_before_ms))
+            assigned.append(
+                _AssignedSeat(seat, candidate, placed_before_ms, kept_apart, shared)
+            )
         return assigned
 
     def _release(self, unit_tasks: _UnitTasks, assigned: list[_AssignedSeat]) -> None:
         """Give back the capacity that ``_assign_tasks`` has taken."""
         needs = charged_resources(unit_tasks.step)
         count_by_id = self._task_counts(unit_tasks.key, unit_tasks.step)
-        for seat, candidate, placed_before_ms in reversed(assigned):
+        for seat, candidate, placed_before_ms, _, _ in reversed(assigned):
+            self._interference.add(candidate, unit_tasks.key, unit_tasks.step, -1)
             candidate.free = candidate.free.plus(needs)
             candidate.future_free = candidate.future_free.plus(needs)
             candidate.placed_ms = placed_before_ms
--- a/test/decisions/__init__.py
+++ b/test/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the jobs package."""
+"""Tests of the decisions package."""
