Learn from listings which tasks slow each other down

Cause: the planner knows no pair without observations. The leader compares two successive rates of a run, each over at least 8 percentage points, with the share of that time in which tasks of each kind were at work beside it. At most 1,000 upstreams are watched at a time. Known pairs are shown in the metrics, the log and the dump, with the seats that they decided.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
@@ -52,4 +52,8 @@
             "speed_weight": round(speed.weight, 2),
             "runs": len(session.task_run_by_key) if session is not None else 0,
         }
-    return {"term": term.fence, "upstreams": upstreams}
+    return {
+        "term": term.fence,
+        "upstreams": upstreams,
+        "slowdowns": term.interference.describe(),
+    }
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -7,6 +7,7 @@
 from persimmonyard.daemon.jobs.draining import UpstreamDrainer
 from persimmonyard.daemon.jobs.durations import Durations
 from persimmonyard.daemon.jobs.expiry import Expiry
+from persimmonyard.daemon.jobs.interference import InterferenceMonitor
 from persimmonyard.daemon.jobs.job_log import JobLog
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.planning_loop import PlanningLoop
@@ -96,6 +97,7 @@
         self.run_times = RunTimes()
         self._estimator = RunTimeEstimator(self.run_times)
         self._health = UpstreamHealth()
+        self.interference = InterferenceMonitor(store, metrics, self.log)
         self.speeds = SpeedModel()
         self.progress_observer = ProgressObserver(self.speeds)
         self.speed_keeper = SpeedKeeper(self)
@@ -144,6 +146,7 @@
         """Cancel all tasks of this term."""
         self._closed = True
         self.supervisor.close()
+        self.interference.close()
         for task in list(self._tasks):
             task.cancel()
         self.log.info("leadership ends", sessions=len(self._session_by_id))
@@ -328,6 +331,10 @@
         """Count a decision that is neither a start nor an end."""
         self._metrics.record_event(event)
 
+    def record_seats(self, kept_apart: int, shared: int) -> None:
+        """Count the seats of a plan that were chosen for their neighbours."""
+        self._metrics.record_seats(kept_apart, shared)
+
     def record_stale_fence(self, upstream: Upstream) -> None:
         """Record that an upstream has accepted a later leader's fence."""
         self.record_event("stale_fence")
@@ -399,6 +406,7 @@
         if session is not None:
             session.close()
         self.speed_keeper.forget(upstream_id)
+        self.interference.forget_upstream(upstream_id)
         self.log.info("upstream forgotten", upstream=upstream_id)
 
     def request_plan(self) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/metrics.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/metrics.py
@@ -1,17 +1,28 @@
 """Counters and histograms of the job roles."""
 
-from aioprometheus import Counter, Histogram
+import re
+from collections.abc import Sequence
+
+from aioprometheus import Counter, Gauge, Histogram
 
 from persimmonyard.daemon.metrics import LATENCY_BUCKETS_S, ProcessMetrics
+from persimmonyard.estimation import KnownPair
 
 __all__ = ["JobMetrics"]
 
+# Known slowdowns that are shown, the strongest ones.
+_MAX_SLOWDOWNS = 20
+# Longest label value of a caller's choice, in characters.
+_MAX_LABEL_LENGTH = 100
+_UNSAFE_IN_LABELS = re.compile(r"[^A-Za-z0-9_./:@+-]")
+
 
 class JobMetrics(ProcessMetrics):
     """Metrics of the job roles; times are in seconds.
 
     Label values come from small fixed sets and from the configured work
-    classes, so that their number is bounded.
+    classes, so that their number is bounded.  Kinds of tasks are named only in
+    the few slowdowns that are shown at a time.
     """
 
     def __init__(self) -> None:
@@ -35,6 +46,15 @@
         self._events = self._counter(
             "scheduling_events_total", "Preemptions, stalls, refusals and the like."
         )
+        self._seats = self._counter(
+            "separated_seats_total",
+            "Seats chosen to keep tasks apart, or shared for lack of capacity.",
+        )
+        self._slowdowns = Gauge(
+            "persimmonyard_slowdown_factor",
+            "Rate of a kind of tasks beside another, relative to that without.",
+            registry=self._registry,
+        )
 
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(f"persimmonyard_{name}", text, registry=self._registry)
@@ -71,3 +91,25 @@
     def record_event(self, event: str) -> None:
         """Record a decision that is neither a start nor an end."""
         self._events.inc({"event": event})
+
+    def record_seats(self, kept_apart: int, shared: int) -> None:
+        """Record the seats of a plan that known slowdowns decided."""
+        if kept_apart:
+            self._seats.add({"choice": "apart"}, kept_apart)
+        if shared:
+            self._seats.add({"choice": "shared"}, shared)
+
+    def show_slowdowns(self, pairs: Sequence[KnownPair]) -> None:
+        """Show the known slowdowns, the strongest first."""
+        self._slowdowns.values.clear()
+        for pair in reversed(pairs[:_MAX_SLOWDOWNS]):
+            labels = {"slowed": _label_value(pair.slowed), "by": _label_value(pair.by)}
+            self._slowdowns.set(labels, pair.factor)
+
+
+def _label_value(kind: str) -> str:
+    """Return the name of a kind as a label value.
+
+    Callers choose the names, and the library does not escape label values.
+    """
+    return _UNSAFE_IN_LABELS.sub("_", kind)[:_MAX_LABEL_LENGTH]
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
@@ -48,7 +48,11 @@
     ):
         self._term = leader_term
         self._planner = Planner(
-            leader_term.store, leader_term.fleet, estimator, speeds=speeds
+            leader_term.store,
+            leader_term.fleet,
+            estimator,
+            speeds=speeds,
+            effects=leader_term.interference.known_effects,
         )
         self._plan_requested = asyncio.Event()
         # Duration of the last plan without its commit, in seconds.
@@ -83,6 +87,7 @@
 
     async def _plan(self) -> None:
         started_at = time.perf_counter()
+        self._term.interference.review(self._term.now())
         runs = self._run_progress()
         plan = self._planner.plan(
             self._term.now(),
@@ -101,6 +106,7 @@
             await self._term.propose(
                 PlaceRuns(tuple(plan.placements), self._term.wall_clock.now_ms())
             )
+        self._term.record_seats(plan.seats_kept_apart, plan.seats_shared)
         self._log_placements(plan.placements)
 
     def _log_placements(self, placements: list[Placement]) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -328,6 +328,7 @@
             self._term.progress_observer.observe(
                 task_run, upstream.report.upstream_id, now
             )
+        self._term.interference.observe_listing(self, listing, now)
         ends = self._collect_ends(listing.ended, listed)
         for task_run in list(self.task_run_by_key.values()):
             if (task_run.task_key, task_run.run) not in listed:
