--- a/packages/decisions/src/persimmonyard/decisions/__init__.py
+++ b/packages/decisions/src/persimmonyard/decisions/__init__.py
@@ -21,21 +21,33 @@
     idle_share,
     speed_level,
 )
+from persimmonyard.decisions.separation import (
+    Effect,
+    Slowed,
+    Undisturbed,
+    decide_separation,
+    effects_on,
+)
 
 __all__ = [
     "NO_RESOURCES",
     "AccountUse",
+    "Effect",
     "FastestFirst",
     "JobRate",
     "OverLimit",
     "ShareRank",
+    "Slowed",
     "SlowestFirst",
     "SpeedOrder",
+    "Undisturbed",
     "UnitPace",
     "WithinLimit",
     "choose_speed_order",
     "decide_quota",
+    "decide_separation",
     "dominant_share",
+    "effects_on",
     "entitled_shares",
     "idle_share",
     "share_rank",
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -49,6 +49,7 @@
 from persimmonyard.jobs.fleet import Fleet, Upstream, UpstreamReport
 from persimmonyard.jobs.health import UpstreamHealth
 from persimmonyard.jobs.job_checks import job_problem
+from persimmonyard.jobs.kinds import task_kind
 from persimmonyard.jobs.leader_wait import (
     ComeBack,
     KeepWaiting,
@@ -137,5 +138,6 @@
     "is_upstream_report",
     "job_problem",
     "limit_reason",
+    "task_kind",
     "total_capacity",
 ]
