--- a/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
@@ -27,6 +27,7 @@
     "decode_call",
     "decode_reply",
     "encode",
+    "encoding_problem",
 ]
 
 _SERVICE = "persimmonyard.Jobs"
@@ -148,6 +149,18 @@
     return _ENCODER.encode(message)
 
 
+def encoding_problem(call: Call) -> str:
+    """Return why a call cannot be sent, or "".
+
+    An error while a call is sent would count as the loss of the leader.
+    """
+    try:
+        encode(call)
+    except (OverflowError, UnicodeEncodeError) as error:
+        return str(error)
+    return ""
+
+
 def decode_call(data: bytes) -> Call:
     """Decode a call; raise ``msgspec.DecodeError`` if it is invalid."""
     return _CALL_DECODER.decode(data)
--- a/test/daemon/jobs/test_leader_client.py
+++ b/test/daemon/jobs/test_leader_client.py
@@ -199,6 +199,75 @@
             reply = await client.call(SUBMIT_CALL, 30.0)
         self.assertEqual(Outcome.OK, reply.outcome)
 
+    async def test_held_calls_are_sent_in_the_order_of_their_arrival(self):
+        """Guards against a call that overtakes one that waits for a leader.
+
+        The caller would see the state of the leader go back: the earlier call
+        is answered later and with a newer configuration.  One address does
+        not answer, as that of an instance without power.
+        """
+        leads = False
+        keys = [f"key-{number}" for number in range(20)]
+        received = []
+
+        async def answer(call, context):
+            if not leads:
+                return CallReply(Outcome.NOT_LEADER)
+            if isinstance(call, JobCall):
+                received.append(call.key)
+            return CallReply(Outcome.OK)
+
+        silent_server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.addCleanup(silent_server.close)
+        client = self.client(
+            silent_server.sockets[0].getsockname()[1], await self.serve(answer)
+        )
+        calls = []
+        for key in keys:
+            call = msgspec.structs.replace(SUBMIT_CALL, key=key)
+            calls.append(asyncio.create_task(client.call(call, 60.0)))
+            await asyncio.sleep(0.02)
+        leads = True
+        for reply in await asyncio.gather(*calls):
+            self.assertEqual(Outcome.OK, reply.outcome)
+        self.assertEqual(keys, received)
+
+    async def test_call_to_a_silent_leader_is_not_overtaken(self):
+        """Guards against a call that stays with a leader that was replaced.
+
+        The first call finds the successor; the second waits for the silent
+        leader at that time, and the third is made afterwards.
+        """
+        suspended = asyncio.Event()
+        received = []
+
+        async def first(call, context):
+            if suspended.is_set():
+                await asyncio.sleep(60.0)
+            return CallReply(Outcome.OK)
+
+        async def second(call, context):
+            if not suspended.is_set():
+                return CallReply(Outcome.NOT_LEADER)
+            if isinstance(call, JobCall):
+                received.append(call.key)
+            return CallReply(Outcome.OK)
+
+        client = self.client(await self.serve(first), await self.serve(second))
+        self.assertEqual(Outcome.OK, (await client.call(SUBMIT_CALL, 10.0)).outcome)
+        suspended.set()
+        calls = []
+        for key in ("key-1", "key-2"):
+            call = msgspec.structs.replace(SUBMIT_CALL, key=key)
+            calls.append(asyncio.create_task(client.call(call, 60.0)))
+            await asyncio.sleep(0.15)
+        await calls[0]
+        call = msgspec.structs.replace(SUBMIT_CALL, key="key-3")
+        calls.append(asyncio.create_task(client.call(call, 60.0)))
+        for reply in await asyncio.gather(*calls):
+            self.assertEqual(Outcome.OK, reply.outcome)
+        self.assertEqual(["key-1", "key-2", "key-3"], received)
+
     async def test_slow_leader_is_waited_for(self):
         """Guards against giving up a call because a commit is slow."""
 
