Preview the placement of a job on a view of the state

Cause: where a job would be placed, and why, was only seen by submitting it.

Change: StoreWithJob is the state of the store with one more job that waits; it shares all tables and copies nothing. A planner of its own makes a plan on it, and a recorder, which is None in normal operation, notes which upstreams were rejected and why. The answer is bounded.

--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -58,12 +58,18 @@
     TaskKey,
     UnitKey,
 )
+from persimmonyard.jobs.placement_preview import (
+    PlacementPreview,
+    PlanInputs,
+    preview_placement,
+)
 from persimmonyard.jobs.planner import Plan, Planner, Preemption
 from persimmonyard.jobs.preemption import RunProgress
 from persimmonyard.jobs.records import JobRecord, SeatRecord, Unit, UnitStatus
 from persimmonyard.jobs.report_origin import ReportOrigin, is_upstream_report
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
 from persimmonyard.jobs.store import JobStore
+from persimmonyard.jobs.store_view import StoreWithJob
 
 __all__ = [
     "GANG_TASK",
@@ -93,7 +99,9 @@
     "NotedSpeed",
     "PlaceRuns",
     "Placement",
+    "PlacementPreview",
     "Plan",
+    "PlanInputs",
     "Planner",
     "Preemption",
     "PutConfiguration",
@@ -111,6 +119,7 @@
     "Silence",
     "StartEvidence",
     "Step",
+    "StoreWithJob",
     "SubmitJob",
     "TaskEnd",
     "TaskEnded",
@@ -128,4 +137,5 @@
     "encode_command",
     "is_upstream_report",
     "job_problem",
+    "preview_placement",
 ]
--- a/packages/jobs/src/persimmonyard/jobs/account_rates.py
+++ b/packages/jobs/src/persimmonyard/jobs/account_rates.py
@@ -30,12 +30,21 @@
 
     def count_job(self, job: Job) -> bool:
         """Count an accepted job; return whether it is beyond the rate."""
+        rate, within = self._after_job(job)
+        if rate is not None:
+            self.rate_by_account[job.account] = rate
+        return not within
+
+    def is_beyond(self, job: Job) -> bool:
+        """Return whether a job would be beyond the rate; count nothing."""
+        return not self._after_job(job)[1]
+
+    def _after_job(self, job: Job) -> tuple[JobRate | None, bool]:
+        """Return the rate after a job, and whether the job is within it."""
         weight = self._weight_by_account.get(job.account)
         if weight is None:
-            return False
+            return None, True
         rate = self.rate_by_account.get(job.account)
         if rate is None:
             rate = JobRate.full(weight, job.submitted_ms)
-        rate, within = rate.after_job(weight, job.submitted_ms)
-        self.rate_by_account[job.account] = rate
-        return not within
+        return rate.after_job(weight, job.submitted_ms)
--- a/packages/jobs/src/persimmonyard/jobs/capacity.py
+++ b/packages/jobs/src/persimmonyard/jobs/capacity.py
@@ -9,6 +9,7 @@
 __all__ = [
     "UpstreamCapacity",
     "charged_resources",
+    "fit_count",
     "fits_when_empty",
     "free_accelerators",
     "half_free",
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -32,6 +32,7 @@
 from persimmonyard.jobs.fleet import Fleet
 from persimmonyard.jobs.guarantees import GuaranteedJobs
 from persimmonyard.jobs.model import GANG_TASK, UnitKey
+from persimmonyard.jobs.plan_recorder import PlanRecorder
 from persimmonyard.jobs.preemption import Reservation, RunProgress, VictimSelector
 from persimmonyard.jobs.records import Unit
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
@@ -111,12 +112,13 @@
         wall_ms: int,
         runs: dict[tuple[UnitKey, int], RunProgress],
         may_preempt: bool = True,
+        recorder: PlanRecorder | None = None,
     ) -> Plan:
         """Return the placements and preemptions for the caller to execute.
 
         ``now`` is in seconds of the monotonic clock, ``wall_ms`` in Unix
         milliseconds.  Runs that are preempted are marked as stopping in
-        ``runs``.
+        ``runs``.  ``recorder`` is told what becomes of each unit.
         """
         plan = Plan()
         ends_at = time.perf_counter() + _MAX_PLAN_S
@@ -155,7 +157,10 @@
                 if time.perf_counter() > ends_at:
                     plan.truncated = bool(plan.placements)
                     return plan
-                if isinstance(planned_usage.decide(account, waiting.step), OverLimit):
+                quota = planned_usage.decide(account, waiting.step)
+                if isinstance(quota, OverLimit):
+                    if recorder is not None:
+                        recorder.record_over_limit(key, quota)
                     # The other units of the step need as much.
                     break
                 step_is_decisive = key.task != GANG_TASK and not unit.avoid
@@ -164,6 +169,10 @@
                 if step_is_decisive and step_is_full:
                     continue
                 if shape_is_decisive and shape in unplaceable_shapes:
+                    if recorder is not None:
+                        recorder.record_trial(
+                            waiting, key, [], capacity_by_id.values(), capacity_by_id
+                        )
                     continue
                 candidates = self._candidates(waiting, unit, capacity_by_id, now)
                 if unit.starts_apart():
@@ -175,8 +184,16 @@
                         waiting, key, fast_enough, victim_selector, plan
                     ):
                         planned_usage.add(account, waiting.step)
+                        if recorder is not None:
+                            recorder.record_trial(
+                                waiting, key, [], fast_enough, capacity_by_id
+                            )
                         continue
                     seats = self._assign_unit(seating, waiting, key, unit, candidates)
+                if recorder is not None:
+                    recorder.record_trial(
+                        waiting, key, seats, candidates, capacity_by_id
+                    )
                 if seats:
                     if unit.starts_apart():
                         reserve_seats(seats, capacity_by_id)
