Answer on the leader where a job would be placed

Change: POST to the path of a job with /explain decodes the job as for a submission and sends it to the leader with the operation "preview". The key may be a bearer token, so that the command line needs no header of the platform.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -9,6 +9,10 @@
 from persimmonyard.daemon.jobs.explanation import explain_job
 from persimmonyard.daemon.jobs.leader_term import LeaderTerm
 from persimmonyard.daemon.jobs.metrics import JobMetrics
+from persimmonyard.daemon.jobs.placement_previews import (
+    PlacementPreviews,
+    TooManyPreviewsError,
+)
 from persimmonyard.daemon.jobs.rpc import (
     EXPLAIN_SUFFIX,
     CallReply,
@@ -20,6 +24,7 @@
 from persimmonyard.jobs import (
     CancelJob,
     InvalidCommandError,
+    Job,
     JobConfiguration,
     JobStore,
     NoteUpstreams,
@@ -74,6 +79,7 @@
         self._store = store
         self._metrics = metrics
         self._leader_term = leader_term
+        self._previews = PlacementPreviews()
         self._log = get_logger("service")
 
     async def answer(self, call: JobCall) -> CallReply:
@@ -111,7 +117,7 @@
                 Outcome.OK, count=self._store.count_queued(resolved.route.name)
             )
         path_suffix = resolved.path_suffix
-        if call.verb == Verb.EXPLAIN:
+        if call.verb in (Verb.EXPLAIN, Verb.PREVIEW):
             path_suffix = path_suffix.removesuffix(EXPLAIN_SUFFIX)
         job_id = parse_job_id(path_suffix)
         if job_id is None:
@@ -119,6 +125,8 @@
         match call.verb:
             case Verb.SUBMIT:
                 return await self._submit(call, resolved, job_id, term)
+            case Verb.PREVIEW:
+                return await self._preview(call, resolved, job_id, term)
             case Verb.CANCEL:
                 return await self._cancel(job_id, term)
         record = self._store.job_by_id.get(job_id)
@@ -144,22 +152,43 @@
     async def _submit(
         self, call: JobCall, resolved: _ResolvedCall, job_id: str, term: LeaderTerm
     ) -> CallReply:
+        job = self._submitted_job(call, resolved, job_id, term)
+        if isinstance(job, CallReply):
+            return job
+        if job_id in self._store.job_by_id:
+            return CallReply(Outcome.OK, detail="known")
+        await term.commit(SubmitJob(job))
+        term.job_log.log_accepted(job)
+        return CallReply(Outcome.OK)
+
+    def _submitted_job(
+        self, call: JobCall, resolved: _ResolvedCall, job_id: str, term: LeaderTerm
+    ) -> Job | CallReply:
+        """Return the job of a call as it is stored, or an error reply."""
         if call.job is None:
             return CallReply(Outcome.INVALID, detail="no job")
         if problem := job_problem(call.job):
             return CallReply(Outcome.INVALID, detail=problem)
-        if job_id in self._store.job_by_id:
-            return CallReply(Outcome.OK, detail="known")
-        job = msgspec.structs.replace(
+        return msgspec.structs.replace(
             call.job,
             job_id=job_id,
             route=resolved.route.name,
             account=resolved.account,
             submitted_ms=term.wall_clock.now_ms(),
         )
-        await term.commit(SubmitJob(job))
-        term.job_log.log_accepted(job)
-        return CallReply(Outcome.OK)
+
+    async def _preview(
+        self, call: JobCall, resolved: _ResolvedCall, job_id: str, term: LeaderTerm
+    ) -> CallReply:
+        """Return where a job would be placed, without storing it."""
+        job = self._submitted_job(call, resolved, job_id, term)
+        if isinstance(job, CallReply):
+            return job
+        try:
+            preview = await self._previews.preview(job, term)
+        except TooManyPreviewsError:
+            return CallReply(Outcome.TOO_MANY)
+        return CallReply(Outcome.OK, content=msgspec.json.encode(preview))
 
     async def _cancel(self, job_id: str, term: LeaderTerm) -> CallReply:
         record = self._store.job_by_id.get(job_id)
@@ -234,4 +263,6 @@
     """
     if reply.outcome == Outcome.NOT_LEADER:
         return False
-    return call.verb not in (Verb.READ, Verb.EXPLAIN) or reply.outcome != Outcome.OK
+    if call.verb in (Verb.READ, Verb.EXPLAIN, Verb.PREVIEW):
+        return reply.outcome != Outcome.OK
+    return True
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -27,7 +27,9 @@
     Command,
     EndRuns,
     Fleet,
+    Job,
     JobStore,
+    PlacementPreview,
     RunEnd,
     RunTimeEstimator,
     TaskEnd,
@@ -259,6 +261,10 @@
         if session is not None:
             await session.record_all_lost("upstream left", TaskEnd.LEFT)
 
+    def preview(self, job: Job) -> PlacementPreview:
+        """Return where the next plan would place a job that is not stored."""
+        return self._planning_loop.preview(job)
+
     def current_unit(self, task_run: TaskRun) -> Unit | None:
         """Return the unit of a run, or None if the run is obsolete.
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/planning_loop.py
@@ -5,15 +5,23 @@
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from persimmonyard.estimation import SpeedModel
 from persimmonyard.jobs import (
+    Job,
+    JobStore,
     Placement,
+    PlacementPreview,
     PlaceRuns,
+    PlanInputs,
     Planner,
     Preemption,
     RunProgress,
     RunTimeEstimator,
+    StoreWithJob,
     UnitKey,
+    preview_placement,
 )
 
 if TYPE_CHECKING:
@@ -29,6 +37,8 @@
 # The part of the leader's time that is spent on planning is at most 1 divided
 # by this, so that calls and heartbeats of the replicated log are not delayed.
 _PLAN_TIME_DIVISOR = 4
+# The identifier of a job that is not stored; those of stored jobs are others.
+_PREVIEW_ID = "preview"
 
 
 class PlanningLoop:
@@ -47,13 +57,26 @@
         speeds: SpeedModel,
     ):
         self._term = leader_term
-        self._planner = Planner(
-            leader_term.store, leader_term.fleet, estimator, speeds=speeds
-        )
+        self._estimator = estimator
+        self._speeds = speeds
+        self._planner = self._planner_on(leader_term.store)
         self._plan_requested = asyncio.Event()
         # Duration of the last plan without its commit, in seconds.
         self._last_plan_s = 0.0
 
+    def _planner_on(self, store: JobStore) -> Planner:
+        return Planner(store, self._term.fleet, self._estimator, speeds=self._speeds)
+
+    def preview(self, job: Job) -> PlacementPreview:
+        """Return where the next plan would place a job that is not stored."""
+        wall_ms = self._term.wall_clock.now_ms()
+        job = msgspec.structs.replace(job, job_id=_PREVIEW_ID, submitted_ms=wall_ms)
+        view = StoreWithJob(self._term.store, job)
+        inputs = PlanInputs(
+            self._term.now(), wall_ms, self._run_progress(), self._term.may_preempt()
+        )
+        return preview_placement(self._planner_on(view), view, self._term.fleet, inputs)
+
     def request_plan(self) -> None:
         """Request a new plan."""
         self._plan_requested.set()
--- a/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
@@ -32,7 +32,8 @@
 
 _SERVICE = "persimmonyard.Jobs"
 CALL_METHOD = f"/{_SERVICE}/Call"
-# End of the path of a call that asks why a job is in its state.
+# End of the path of a call that asks why a job is in its state, or where it
+# would be placed.
 EXPLAIN_SUFFIX = "/explain"
 
 
@@ -44,13 +45,14 @@
     CANCEL = "cancel"
     COUNT = "count"
     EXPLAIN = "explain"
+    PREVIEW = "preview"
 
 
 class Outcome(StrEnum):
     """The outcome of a call.
 
-    With ``UNKNOWN`` the call may have been executed.  With ``NOT_LEADER`` and
-    ``NO_CONFIGURATION`` it was not, and may succeed later.
+    With ``UNKNOWN`` the call may have been executed.  With ``NOT_LEADER``,
+    ``NO_CONFIGURATION`` and ``TOO_MANY`` it was not, and may succeed later.
     """
 
     OK = "ok"
@@ -59,6 +61,7 @@
     UNAUTHENTICATED = "unauthenticated"
     INVALID = "invalid"
     NO_CONFIGURATION = "no_configuration"
+    TOO_MANY = "too_many"
     NOT_LEADER = "not_leader"
     UNKNOWN = "unknown"
 
--- a/test/platform_adapter/test_end_to_end.py
+++ b/test/platform_adapter/test_end_to_end.py
@@ -320,6 +320,28 @@
                     reply = await operator.request(method, f"{url}/api/evacuation/z9")
                     self.assertEqual(200, reply.status_code, reply.text)
 
+    async def test_placement_is_explained_without_submitting_the_job(self):
+        """Guards against an explanation that stores or starts the job.
+
+        The key is a bearer token here, as the command line sends it.
+        """
+        await self.send_report()
+        path = f"/p/{JOB_ID}/explain"
+        headers = {"x-persimmonyard-credential": "", "authorization": "Bearer key-1"}
+        reply = await self.caller.post(path, json=JOB_BODY, headers=headers)
+        self.assertEqual(200, reply.status_code, reply.text)
+        preview = reply.json()
+        self.assertEqual(2, preview["placed"], preview)
+        self.assertEqual("r1", preview["units"][0]["seats"][0]["rack"])
+        headers["authorization"] = "Bearer other"
+        reply = await self.caller.post(path, json=JOB_BODY, headers=headers)
+        self.assertEqual(401, reply.status_code)
+        reply = await self.caller.post(path, json={"steps": []})
+        self.assertEqual(400, reply.status_code)
+        await asyncio.sleep(0.3)
+        self.assertEqual([], self.upstream.started)
+        self.assertEqual({}, self.controls[self.leader_ip()].store.job_by_id)
+
     async def test_zone_out_of_service_gets_no_starts(self):
         """Guards against starts in a zone that is out of service.
 
