Show with "where" in which seats a job would be placed

Change: persimmonyard where FILE asks an entry of the job service, prints the seats, the reasons to wait and the rejected upstreams as tables, or the answer as JSON. The client understands refusals of the job service, which have an HTTP status and no result code.

--- a/packages/cli/src/persimmonyard/cli/caller_commands.py
+++ b/packages/cli/src/persimmonyard/cli/caller_commands.py
@@ -1,6 +1,10 @@
-"""Commands for callers: submit, wait for, cancel and explain requests."""
+"""Commands for callers: submit, wait for, cancel and explain requests.
+
+``where`` is for callers of the job service.
+"""
 
 import base64
+import json
 import time
 from pathlib import Path
 from typing import Annotated, Any
@@ -10,13 +14,15 @@
 from persimmonyard.cli.context import context
 from persimmonyard.cli.exit_codes import NOT_ENDED, exit_status_of_request
 from persimmonyard.cli.formatting import explanation_text, request_text
+from persimmonyard.cli.placement_text import placement_text
 from persimmonyard.model import Adjacency, ResultCode, UserError
 
-__all__ = ["cancel", "explain", "submit", "wait"]
-
+__all__ = ["cancel", "explain", "submit", "wait", "where"]
 
 # Must be shorter than the time-out of a call in ``EntryClient`` (90 s).
 MAX_CALL_WAIT_S = 60.0
+# A job that is not submitted needs an identifier in the path all the same.
+UNUSED_JOB_ID = "0" * 16
 
 
 def submit(
@@ -110,6 +116,36 @@
     context.show(explanation, explanation_text)
 
 
+def where(
+    file: Annotated[Path, typer.Argument(help="File with the body of the job.")],
+    prefix: Annotated[
+        str, typer.Option(help="Path prefix of the route, such as /batch/.")
+    ] = "/",
+    host: Annotated[
+        str, typer.Option(help="Host of the route; default: that of the URL.")
+    ] = "",
+) -> None:
+    """Show where a job would be placed now, without submitting it."""
+    body = _read_job(file)
+    headers = {"Host": host} if host else {}
+    path = f"/{prefix.strip('/')}/{UNUSED_JOB_ID}/explain".replace("//", "/")
+    preview = context.caller_client().post(path, body, **headers)
+    context.show(preview, placement_text)
+
+
+def _read_job(path: Path) -> Any:
+    try:
+        return json.loads(path.read_bytes())
+    except OSError as error:
+        raise UserError(
+            ResultCode.BAD_FIELD, f"cannot read the job: {error}", "file"
+        ) from error
+    except ValueError as error:
+        raise UserError(
+            ResultCode.BAD_JSON, f"the job is not JSON: {error}", "file"
+        ) from error
+
+
 def _poll_until_ended(view: dict[str, Any], deadline: float) -> dict[str, Any]:
     """Poll a request until it has ended or the deadline has passed.
 
--- a/packages/cli/src/persimmonyard/cli/client.py
+++ b/packages/cli/src/persimmonyard/cli/client.py
@@ -32,6 +32,16 @@
     }
 )
 
+# Result codes for the statuses with which the job service refuses a call.
+_CODE_BY_STATUS = {
+    400: ResultCode.BAD_FIELD,
+    401: ResultCode.UNAUTHENTICATED,
+    404: ResultCode.UNKNOWN_PATH,
+    413: ResultCode.BODY_TOO_LARGE,
+    429: ResultCode.OVERLOADED,
+    503: ResultCode.NO_LEADER,
+}
+
 
 class EntryClient:
     """Calls the API of entries with one token.
@@ -126,6 +136,10 @@
         body = response.json()
         if response.status_code < 400:
             return body
+        if "code" not in body and response.status_code in _CODE_BY_STATUS:
+            # The job service has HTTP statuses and no result codes.
+            code = _CODE_BY_STATUS[response.status_code]
+            raise UserError(code, str(body["error"]), None, True)
         code = ResultCode(body["code"])
         message, not_run = str(body["message"]), bool(body["not_run"])
     except (ValueError, KeyError, TypeError) as error:
--- a/packages/cli/src/persimmonyard/cli/main.py
+++ b/packages/cli/src/persimmonyard/cli/main.py
@@ -69,6 +69,7 @@
     caller_commands.wait,
     caller_commands.cancel,
     caller_commands.explain,
+    caller_commands.where,
     diagnostic_commands.dump,
     trace.trace,
     diagnostic_commands.check_settings,
--- a/test/cli/test_main.py
+++ b/test/cli/test_main.py
@@ -155,6 +155,36 @@
         _, text, _ = self.run_cli("explain", "r-1")
         self.assertIn("of another client account  bulk   up-1", text)
 
+    def test_where_shows_seats_waits_and_rejected_upstreams(self):
+        """Guards against a call that submits the job, and hidden reasons."""
+        seat = {"task": 0, "upstream": "u1", "zone": "z1", "rack": "r1"}
+        placed = {"unit": "task 0.0.0", "seats": [seat], "seats_omitted": 0}
+        placed |= {"waits": "", "detail": "", "stops": 0}
+        waits = {"unit": "gang 0.1", "seats": [], "seats_omitted": 0}
+        waits |= {"waits": "no_room", "detail": "room for 1 of 2 tasks", "stops": 3}
+        rejected = [{**seat, "upstream": "u2", "reason": "no_accelerators"}]
+        step = {"step": "0.1", "unit": "gang 0.1", "rejected": rejected}
+        step["rejected_by_reason"] = {"no_accelerators": 1}
+        body = {"version": 4, "upstreams": 2, "placed": 1, "waiting": 1}
+        body |= {"units": [placed, waits], "units_omitted": 0, "steps": [step]}
+        self.entry.responses = [(429, {"error": "too_many"}), (200, body)]
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write('{"steps": [{}]}')
+            file.flush()
+            arguments = ("where", file.name, "--prefix", "/p", "--host", "h.example")
+            _, text, _ = self.run_cli(*arguments)
+            self.assertIn("task 0.0.0  0     u1        z1    r1", text)
+            self.assertIn("gang 0.1  no_room  room for 1 of 2 tasks  3", text)
+            self.assertIn("u2        z1    r1    no_accelerators", text)
+            self.assertEqual(body, json.loads(self.run_cli("--json", *arguments)[1]))
+            self.entry.responses = [(401, {"error": "unauthenticated"})]
+            status, _, error_line = self.run_cli(*arguments)
+        path, sent, headers = self.entry.calls[0]
+        self.assertEqual(f"POST /p/{'0' * 16}/explain", path)
+        self.assertEqual({"steps": [{}]}, sent)
+        self.assertEqual("h.example", headers["Host"])
+        self.assertEqual((3, True), (status, "(code 200)" in error_line))
+
     def test_exit_status_depends_on_the_outcome(self):
         """Guards against scripts that take one outcome for another.
 
