--- a/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
@@ -27,11 +27,13 @@
     "decode_call",
     "decode_reply",
     "encode",
+    "encoding_problem",
 ]
 
 _SERVICE = "persimmonyard.Jobs"
 CALL_METHOD = f"/{_SERVICE}/Call"
-# End of the path of a call that asks why a job is in its state.
+# End of the path of a call that asks why a job is in its state, or where it
+# would be placed.
 EXPLAIN_SUFFIX = "/explain"
 
 
@@ -43,13 +45,14 @@
     CANCEL = "cancel"
     COUNT = "count"
     EXPLAIN = "explain"
+    PREVIEW = "preview"
 
 
 class Outcome(StrEnum):
     """The outcome of a call.
 
-    With ``UNKNOWN`` the call may have been executed.  With ``NOT_LEADER`` and
-    ``NO_CONFIGURATION`` it was not, and may succeed later.
+    With ``UNKNOWN`` the call may have been executed.  With ``NOT_LEADER``,
+    ``NO_CONFIGURATION`` and ``TOO_MANY`` it was not, and may succeed later.
     """
 
     OK = "ok"
@@ -58,6 +61,7 @@
     UNAUTHENTICATED = "unauthenticated"
     INVALID = "invalid"
     NO_CONFIGURATION = "no_configuration"
+    TOO_MANY = "too_many"
     NOT_LEADER = "not_leader"
     UNKNOWN = "unknown"
 
@@ -148,6 +152,18 @@
     return _ENCODER.encode(message)
 
 
+def encoding_problem(call: Call) -> str:
+    """Return why a call cannot be sent, or "".
+
+    An error while a call is sent would count as the loss of the leader.
+    """
+    try:
+        encode(call)
+    except (OverflowError, UnicodeEncodeError) as error:
+        return str(error)
+    return ""
+
+
 def decode_call(data: bytes) -> Call:
     """Decode a call; raise ``msgspec.DecodeError`` if it is invalid."""
     return _CALL_DECODER.decode(data)
