--- a/test/jobs/test_planner.py
+++ b/test/jobs/test_planner.py
@@ -6,12 +6,12 @@
 
 from persimmonyard.jobs import (
     EndRuns,
-    Planner,
     RunEnd,
     RunProgress,
     SetZone,
     TaskEnd,
 )
+from persimmonyard.jobs.seating import SeatAssigner
 from test.jobs.fixtures import WALL_MS, Cluster, step
 
 
@@ -26,7 +26,7 @@
         cluster.add("u1")
         cluster.submit(step(1_000, gpu=9, per_upstream=1))
         with mock.patch.object(
-            Planner, "_assign_unit", autospec=True, return_value=[]
+            SeatAssigner, "assign", autospec=True, return_value=[]
         ) as assign:
             cluster.plan()
         self.assertEqual(1, assign.call_count)
