Stop an account's own runs for its guaranteed work at its limit

The limit of an account binds its guaranteed work as well, and nothing was stopped for a unit over the limit. The cheapest other runs of the account are stopped now, as many as the unit exceeds the limit by, and room is made on upstreams at the same time.

--- a/packages/jobs/src/persimmonyard/jobs/account_usage.py
+++ b/packages/jobs/src/persimmonyard/jobs/account_usage.py
@@ -125,6 +125,18 @@
         self._usage = usage
         self._planned_by_name: dict[str, Resources] = {}
 
+    def excess(self, name: str, step: Step) -> Resources:
+        """Return by how much one more unit of a step exceeds the limit."""
+        used, limit = self._usage.use(name)
+        needed = used.plus(self._planned_by_name.get(name, NO_RESOURCES))
+        needed = needed.plus(unit_needs(step))
+        return Resources(
+            *(
+                max(0, amount - bound) if bound else 0
+                for amount, bound in zip(needed, limit, strict=True)
+            )
+        )
+
     def decide(self, name: str, step: Step) -> WithinLimit | OverLimit:
         """Decide whether an account may start one more unit of a step."""
         used, limit = self._usage.use(name)
--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -23,6 +23,7 @@
     away_from_crashes,
     reserve_seats,
 )
+from persimmonyard.jobs.limit_relief import choose_own_victims
 from persimmonyard.jobs.model import GANG_TASK, UnitKey
 from persimmonyard.jobs.plan_recorder import PlanRecorder
 from persimmonyard.jobs.preemption import Reservation, VictimSelector
@@ -156,6 +157,8 @@
             if isinstance(quota, OverLimit):
                 if self._recorder is not None:
                     self._recorder.record_over_limit(key, quota)
+                if waiting.within_guarantee:
+                    self._make_room_within_limit(waiting, key, unit)
                 # The other units of the step need as much.
                 break
             step_is_decisive = _is_decisive(key, unit)
@@ -197,6 +200,27 @@
                 return _MakingRoom(group)
         return _NoRoom(candidates)
 
+    def _make_room_within_limit(
+        self, waiting: WaitingUnits, key: UnitKey, unit: Unit
+    ) -> None:
+        """Stop runs of an account at its limit for its guaranteed work.
+
+        Room on upstreams is made at the same time, because the guarantee has
+        to be given back within seconds.
+        """
+        if not self._facts.may_preempt:
+            return
+        account = waiting.record.job.account
+        excess = self._planned_usage.excess(account, waiting.step)
+        victims = choose_own_victims(self._victim_selector, account, excess)
+        if victims is None:
+            return
+        for run_key in victims:
+            self._plan.preemptions.append(Preemption(*run_key, key))
+            self._victim_selector.mark_stopping(run_key)
+        self._planned_usage.add(account, waiting.step)
+        self._make_room(waiting, key, self._candidates(waiting, key, unit))
+
     def _place(self, key: UnitKey, unit: Unit, seats: list[Seat]) -> None:
         if unit.starts_apart():
             reserve_seats(seats, self._facts.capacity_by_id)
--- a/packages/jobs/src/persimmonyard/jobs/preemption.py
+++ b/packages/jobs/src/persimmonyard/jobs/preemption.py
@@ -12,7 +12,7 @@
 from persimmonyard.jobs.waiting_queue import Slack, WaitingUnits, core_equivalents
 from persimmonyard.model import Resources
 
-__all__ = ["Reservation", "RunProgress", "VictimSelector"]
+__all__ = ["PotentialVictim", "Reservation", "RunProgress", "VictimSelector"]
 
 _MS_PER_S = 1_000
 # Value of a core-second of finished work by priority, in core-seconds of
@@ -145,7 +145,7 @@
         guaranteed_jobs: GuaranteedJobs,
         wall_ms: int,
     ):
-        self._store = store
+        self.store = store
         self._estimator = estimator
         self._runs = runs
         self._guaranteed_jobs = guaranteed_jobs
@@ -219,7 +219,7 @@
         """Add a run to stop, and what it frees on upstreams of the group."""
         run_key = (victim.key, victim.run)
         reservation.victims.append(run_key)
-        unit = self._store.job_by_id[victim.key.job_id].units[victim.key]
+        unit = self.store.job_by_id[victim.key.job_id].units[victim.key]
         for upstream_id in {seat_record.seat.upstream_id for seat_record in unit.seats}:
             candidate = candidate_by_id.get(upstream_id)
             if candidate is None:
@@ -236,7 +236,7 @@
     def mark_stopping(self, run_key: tuple[UnitKey, int]) -> None:
         """Record that a run is being stopped, to exclude it from now on."""
         self._runs[run_key] = self._runs[run_key]._replace(stopping=True)
-        unit = self._store.job_by_id[run_key[0].job_id].units[run_key[0]]
+        unit = self.store.job_by_id[run_key[0].job_id].units[run_key[0]]
         for seat_record in unit.seats:
             self._potential_victims_by_upstream.pop(seat_record.seat.upstream_id, None)
 
@@ -262,8 +262,8 @@
 
     def _find_potential_victims(self, upstream_id: str) -> list[PotentialVictim]:
         needs_by_run: dict[tuple[UnitKey, int], Resources] = {}
-        for task_key, run in self._store.seats_by_upstream.get(upstream_id, {}):
-            step = self._store.job_by_id[task_key.job_id].job.steps[task_key.step]
+        for task_key, run in self.store.seats_by_upstream.get(upstream_id, {}):
+            step = self.store.job_by_id[task_key.job_id].job.steps[task_key.step]
             run_key = (task_key.unit_key(step.gang), run)
             progress = self._runs.get(run_key)
             if progress is None or progress.ends_soon():
@@ -272,24 +272,32 @@
             needs_by_run[run_key] = freed.plus(charged_resources(step))
         found = []
         for (key, run), freed in needs_by_run.items():
-            victim = self._potential_victim(key, run, freed)
+            victim = self.potential_victim(key, run, freed)
             if victim is not None:
                 found.append(victim)
         found.sort(key=lambda victim: victim.cost)
         return found
 
-    def _potential_victim(
+    def ends_soon(self, key: UnitKey, run: int) -> bool:
+        """Return whether a run frees its capacity without a further stop."""
+        progress = self._runs.get((key, run))
+        return progress is not None and progress.ends_soon()
+
+    def potential_victim(
         self, key: UnitKey, run: int, freed: Resources
     ) -> PotentialVictim | None:
-        record = self._store.job_by_id[key.job_id]
-        route = self._store.route_of(record)
+        """Return a run as a victim, or None if it must not be stopped."""
+        record = self.store.job_by_id[key.job_id]
+        route = self.store.route_of(record)
         if route is None or self._guaranteed_jobs.covers(record):
             return None
         if record.units[key].completed:
             # Its members end together, so the others have ended as well, and a
             # stop would free nothing earlier.
             return None
-        progress = self._runs[(key, run)]
+        progress = self._runs.get((key, run))
+        if progress is None:
+            return None
         step = record.step_of(key)
         cores = core_equivalents(step) * (step.count if step.gang else 1)
         cost = _REWORK_FACTOR * cores * (progress.unsaved_s + _RESTART_COST_S)
--- a/test/jobs/test_quotas.py
+++ b/test/jobs/test_quotas.py
@@ -174,6 +174,32 @@
         cluster.submit(step(count=8), route="urgent")
         self.assertEqual(3, len(cluster.place(after_ms=2_000).placements))
 
+    def test_guaranteed_work_at_the_limit_stops_work_of_its_account(self):
+        """Guards against a guarantee that is not given back in time.
+
+        The account itself has used up its limit with work that can wait.
+        """
+        cluster = QuotaCluster(upstreams=3)
+        spec = AccountSpec("clinic", ("key-1",), 8, Resources(16, 0, 0))
+        cluster.store.execute(
+            PutConfiguration(
+                msgspec.structs.replace(configuration(3), accounts=(spec,))
+            )
+        )
+        cluster.submit(step(16, gpu=1), route="batch", job_id="b" * 16)
+        for placement in cluster.place().placements:
+            key, unit = placement.key, cluster.store.job_by_id["b" * 16].units
+            cluster.runs[(key, unit[key].run)] = RunProgress(False, 0.5, 0.5, 60.0)
+        cluster.submit(step(8, gpu=1, gang=True), route="urgent", job_id="c" * 16)
+        plan = cluster.place()
+        self.assertEqual([], plan.placements)
+        self.assertEqual(8, len(plan.preemptions))
+        for key, run, _ in plan.preemptions:
+            cluster.end_run(key, cluster.store.job_by_id["b" * 16].units[key])
+            del cluster.runs[(key, run)]
+        placed = cluster.place().placements
+        self.assertEqual(["c" * 16], [placement.key.job_id for placement in placed])
+
 
 class CountTests(unittest.TestCase):
     def check(self, cluster):
