Take the begin of work as unknown after a start without an answer

The run may have begun with the first start, so that its rate would seem higher than it is. The begin is recorded only where it is known, which also replaces the check for checkpoints at the end of a run.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/progress_observer.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/progress_observer.py
@@ -42,9 +42,8 @@
     """Measures the rates of progress of all runs of a term.
 
     The rate is that between two listings, or from the time at which the work
-    began if the upstream answered the start and the run did not resume from a
-    checkpoint.  Work of a gang begins once its last member has started.
-    Times are in seconds of the monotonic clock.
+    began, if it is known.  Work of a gang begins once its last member has
+    started.  Times are in seconds of the monotonic clock.
     """
 
     def __init__(self, speeds: SpeedModel):
@@ -52,14 +51,11 @@
         self._rate_by_step: dict[_StepKey, float] = {}
         self._start_by_gang: dict[tuple[UnitKey, int], _GangStart] = {}
 
-    def record_start(
-        self, task_run: TaskRun, upstream_id: str, resumed: bool, now: float
-    ) -> None:
-        """Record that the upstream has answered the start of a run.
+    def record_start(self, task_run: TaskRun, upstream_id: str, now: float) -> None:
+        """Record that a run begins, without a checkpoint, on an upstream.
 
-        ``resumed`` tells whether it continues from a checkpoint.
+        It is not called for a run that may have begun earlier.
         """
-        task_run.resumed = resumed
         if not task_run.step.gang:
             task_run.work_began_at = now
             return
@@ -110,10 +106,10 @@
         so it is that of the whole gang, for the first member that ends.
         Returns None if the run time is not known.
         """
-        if task_run.resumed or task_run.checkpoint or task_run.step.long_running:
+        if task_run.step.long_running:
             return None
         if not task_run.step.gang:
-            began_at = task_run.started_at
+            began_at = task_run.work_began_at
             if began_at is None:
                 return None
             return (now - began_at) * self._speeds.speed(upstream_id).factor
@@ -133,8 +129,6 @@
 
     def _first_mark(self, task_run: TaskRun) -> ProgressMark | None:
         """Return the begin of the work of a run, or None if unknown."""
-        if task_run.resumed:
-            return None
         if not task_run.step.gang:
             began_at = task_run.work_began_at
             return None if began_at is None else ProgressMark(0, began_at)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -217,8 +217,9 @@
             task_run.answered_at = now
             task_run.started_at = task_run.started_at or now
             task_run.progressed_at = now
-            upstream_id = self._session.upstream.report.upstream_id
-            term.progress_observer.record_start(task_run, upstream_id, resumed, now)
+            if not resumed and not task_run.in_doubt:
+                upstream_id = self._session.upstream.report.upstream_id
+                term.progress_observer.record_start(task_run, upstream_id, now)
             term.record_started(
                 task_run, self._session.upstream, now - task_run.placed_at
             )
--- a/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
@@ -57,9 +57,9 @@
     ``inherited`` is true while no poll has shown whether an earlier leader has
     started the run, also if it is being stopped meanwhile.  ``replaced`` is
     true once another incarnation has taken the place of the run's upstream.
-    ``work_began_at`` is when the upstream answered the start, ``resumed`` is
-    true if the run continues from a checkpoint, and ``mark`` is the progress
-    from which its rate is measured next.
+    ``work_began_at`` is when the upstream answered the start, unless the run
+    continues from a checkpoint or may have begun earlier, and ``mark`` is the
+    progress from which its rate is measured next.
     """
 
     task_key: TaskKey
@@ -85,7 +85,6 @@
     checkpoint: str = ""
     stop_reason: str = ""
     work_began_at: float | None = None
-    resumed: bool = False
     mark: ProgressMark | None = None
 
     def update_progress(self, percent: int, checkpoint: str, now: float) -> None:
