Refuse a preview that would wait for long

Cause: a preview waits for the pauses after earlier ones, seven times as long as a plan. An entry that gets no reply within 0.9 s takes the leader for lost.

Change: a call whose turn would come after more than 0.3 s gets 429.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/placement_previews.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/placement_previews.py
@@ -16,13 +16,17 @@
 
 # At most this many calls are answered or wait.
 _MAX_CALLS = 4
+# A call whose turn comes later than this, in seconds, is refused: an entry
+# that gets no reply for 0.9 s takes the leader for lost, and an answer takes
+# up to 0.3 s.
+_MAX_WAIT_S = 0.3
 # The part of the leader's time that is spent on answers is at most 1 divided
 # by this.  Plans take up to a fourth of it, and calls need the rest.
 _TIME_DIVISOR = 8
 
 
 class TooManyPreviewsError(Exception):
-    """``_MAX_CALLS`` calls are answered or wait already."""
+    """Too many calls are answered or wait already."""
 
 
 class PlacementPreviews:
@@ -30,7 +34,6 @@
 
     def __init__(self) -> None:
         self._calls = 0
-        self._turn = asyncio.Lock()
         self._next_at = 0.0
 
     async def preview(self, job: Job, term: LeaderTerm) -> PlacementPreview:
@@ -43,15 +46,22 @@
             raise TooManyPreviewsError
         self._calls += 1
         try:
-            async with self._turn:
-                await asyncio.sleep(max(0.0, self._next_at - time.perf_counter()))
-                if not term.leads():
-                    raise NotLeaderError("")
-                return self._make_preview(job, term)
+            await self._wait_for_turn()
+            return self._make_preview(job, term)
         finally:
             self._calls -= 1
 
+    async def _wait_for_turn(self) -> None:
+        """Wait until the pause after the last answer has ended."""
+        latest_at = time.perf_counter() + _MAX_WAIT_S
+        while (now := time.perf_counter()) < self._next_at:
+            if self._next_at > latest_at:
+                raise TooManyPreviewsError
+            await asyncio.sleep(self._next_at - now)
+
     def _make_preview(self, job: Job, term: LeaderTerm) -> PlacementPreview:
+        if not term.leads():
+            raise NotLeaderError("")
         started_at = time.perf_counter()
         try:
             return term.preview(job)
--- a/test/daemon/jobs/test_placement_previews.py
+++ b/test/daemon/jobs/test_placement_previews.py
@@ -1,6 +1,7 @@
 """Tests of the limit on calls that ask where a job would be placed."""
 
 import asyncio
+import time
 import unittest
 from types import SimpleNamespace
 
@@ -21,7 +22,7 @@
         """
         previews = PlacementPreviews()
         term = SimpleNamespace(leads=lambda: True, preview=lambda job: job)
-        await previews._turn.acquire()
+        previews._next_at = time.perf_counter() + 0.2
         calls = []
         for _ in range(4):
             calls.append(asyncio.create_task(previews.preview(job(step()), term)))
@@ -31,9 +32,18 @@
         calls.pop().cancel()
         await asyncio.sleep(0)
         calls.append(asyncio.create_task(previews.preview(job(step()), term)))
-        previews._turn.release()
         self.assertEqual([job(step())] * 4, await asyncio.gather(*calls))
 
+    async def test_call_that_would_wait_for_long_is_refused(self):
+        """Guards against an entry that takes the leader for lost.
+
+        It does so if a call gets no reply for 0.9 s.
+        """
+        previews = PlacementPreviews()
+        previews._next_at = time.perf_counter() + 600.0
+        with self.assertRaises(TooManyPreviewsError):
+            await previews.preview(job(step()), SimpleNamespace())
+
     async def test_ended_term_answers_no_call(self):
         """Guards against an answer from the state of a former leader."""
         previews = PlacementPreviews()
