Test processes under groups of hostile callers

Callers could make a process run out of memory: an entry keeps whatever part of a body has arrived (up to 4 MiB for each connection), and reads up to 256 KiB more for each request that is in progress while others were sent ahead.

It runs alone, after all other modules.

--- a/test/run.py
+++ b/test/run.py
@@ -1,7 +1,8 @@
 """Run the test suite with nose2 and print a summary line at the end.
 
-Each test module runs in a process of its own, several at a time.  The output
-of a process is printed when it ends.  With arguments, only the named tests
+Each test module runs in a process of its own, several at a time, except for
+those that run alone at the end.  The output of a process is printed when it
+ends.  With arguments, only the named tests
 run, all in this process.  Tests listed in KNOWN-RED.txt run like all others,
 but their failures are only printed and do not fail the run.
 """
@@ -24,6 +25,9 @@
 # Limited to four, and to one less than the cores, because some modules start
 # many processes of their own.
 MAX_PARALLEL_MODULES = max(1, min(4, (os.cpu_count() or 1) - 1))
+# Modules that run after all others, one at a time, because they load the
+# machine and would disturb tests beside them.
+SOLITARY_MODULES = ("test.daemon.test_hostile_callers",)
 
 sys.path.insert(0, str(ROOT))
 
@@ -109,10 +113,12 @@
     if sys.argv[1:]:
         return report(run_tests(sys.argv[1:]))
     outcomes = []
-    with ThreadPoolExecutor(MAX_PARALLEL_MODULES) as pool:
-        for output, module_outcomes in pool.map(run_in_subprocess, find_modules()):
-            print(output, end="", flush=True)
-            outcomes += module_outcomes
+    names = [name for name in find_modules() if name not in SOLITARY_MODULES]
+    for parallel, group in ((MAX_PARALLEL_MODULES, names), (1, SOLITARY_MODULES)):
+        with ThreadPoolExecutor(parallel) as pool:
+            for output, module_outcomes in pool.map(run_in_subprocess, group):
+                print(output, end="", flush=True)
+                outcomes += module_outcomes
     return report(outcomes)
 
 
