Limit what connections hold in memory for each process

Callers saw a process killed for lack of memory, with all its connections. Cause: nothing bounded what connections hold together. Parts of bodies were kept up to 4 MiB each, at every listener of the job service. While a request is in progress, uvicorn's receive() resumes reading even if requests that were sent ahead are unparsed, and the parser's buffer then grows by a read of 256 KiB for each request. Unread responses were only noticed above 64 KiB.

All servers of a process now share an Intake, which counts what each connection holds and sheds connections above [intake] memory_bytes. The protocol reads no further while requests that were sent ahead wait, refuses bodies and heads over their limits when they are parsed, and limits the time of heads, bodies and unread responses. Refusals are counted in the metrics and logged as one line for each kind in 10 s. Idle connections are kept for 20 s, above the 15 s that callers may use.

--- a/packages/daemon/src/persimmonyard/daemon/control/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/process.py
@@ -24,6 +24,7 @@
 from persimmonyard.daemon.control.upstreams import UpstreamController
 from persimmonyard.daemon.disk_log import log_disk_event
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.intake import Intake
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.settings import Settings
 from persimmonyard.replication import (
@@ -47,6 +48,7 @@
     def __init__(self, settings: Settings):
         self._settings = settings
         self._logger = get_logger("control")
+        self._intake = Intake(settings.intake_limits())
         self._replicated_state = ReplicatedState()
         self._sessions = SessionController(self._replicated_state)
         self._assignments = AssignmentController(self._replicated_state, self._sessions)
@@ -103,6 +105,8 @@
             settings.http.host,
             settings.http.port,
             settings.shutdown.drain_s,
+            self._intake,
+            "inspection",
         )
         await self._http.start()
         self._background.start("leadership", self._watch_leadership)
--- a/packages/daemon/src/persimmonyard/daemon/entry/process.py
+++ b/packages/daemon/src/persimmonyard/daemon/entry/process.py
@@ -17,6 +17,7 @@
 from persimmonyard.daemon.entry.requests_api import RequestApi
 from persimmonyard.daemon.entry.task_client import TaskClient
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.intake import Intake
 from persimmonyard.daemon.logs import get_logger
 from persimmonyard.daemon.metrics import EntryMetrics
 from persimmonyard.daemon.settings import Settings
@@ -33,6 +34,7 @@
     def __init__(self, settings: Settings):
         self._settings = settings
         self._logger = get_logger("entry")
+        self._intake = Intake(settings.intake_limits())
         self._entry_id = f"{settings.process.name}/{secrets.token_hex(4)}"
         self._session_count = 0
         self._stopping = False
@@ -55,6 +57,7 @@
         requests = RequestApi(limits, self._state, self._leader, self._chain)
         operators = OperatorApi(limits, self._leader, self._chain, self._dump)
         metrics = EntryMetrics()
+        metrics.watch_intake(self._intake)
         self._add_gauges(metrics)
         return EntryApp(
             self._state, self._chain, metrics, requests, operators, self._announcements
@@ -92,8 +95,8 @@
             settings.http.host,
             settings.http.port,
             settings.shutdown.drain_s,
-            settings.limits.connections,
-            settings.http.headers_s,
+            self._intake,
+            "callers",
         )
         await self._http.start()
         self._logger.info("listening", http_port=self._http.port)
--- a/packages/daemon/src/persimmonyard/daemon/http_server.py
+++ b/packages/daemon/src/persimmonyard/daemon/http_server.py
@@ -2,28 +2,24 @@
 
 import asyncio
 import contextlib
-import json
+import functools
+import logging
 import socket
-from typing import Any
 
 import uvicorn
 from litestar import Litestar
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from persimmonyard.daemon.errors import RETRY_AFTER_S, error_body, http_status
-from persimmonyard.model import ResultCode
+from persimmonyard.daemon.http_protocol import LimitedProtocol
+from persimmonyard.daemon.intake import Intake, IntakeLimits
 
-__all__ = ["HttpServer"]
+__all__ = ["SMALL_BODY_BYTES", "HttpServer"]
 
-MAX_CONNECTIONS = 2_048
-HEADERS_TIMEOUT_S = 10.0
-# During a shutdown, a connection that has not sent a call yet has this time,
-# in seconds, to send its first one.  It is short, because a shutdown waits
-# for connections that were opened long ago and never used.
-FIRST_CALL_TIMEOUT_S = 1.0
-# A connection also has this time from its start.  With 1.0, callers without
-# processor time were cut off between connecting and sending at load 14.
-NEW_CONNECTION_TIMEOUT_S = 5.0
+# The limit on bodies of a server whose requests have none.
+SMALL_BODY_BYTES = 16 << 10
+
+# Callers may keep an idle connection for 15 s; this is longer, in seconds, so
+# that none is closed while a request on it is in transit.
+_KEEP_ALIVE_S = 20
 
 
 class _Server(uvicorn.Server):
@@ -55,10 +51,12 @@
 class HttpServer:
     """Serves a Litestar application until it is stopped.
 
-    ``port`` is the bound port, also if the settings have port 0.  At most
-    ``connections`` connections are open at a time.  Each has ``headers_s``
-    seconds to send the headers of a call, and as long to resume reading a
-    response.
+    ``port`` is the bound port, also if the settings have port 0.  The limits
+    on connections are those of ``intake``, which all servers of a process
+    share; without one they have their defaults, and bodies are small.
+    ``listener`` is the name of the server in metrics and logs.
+    ``body_bytes`` lowers the limit on bodies for a server that needs no large
+    ones.
     """
 
     def __init__(
@@ -67,18 +65,30 @@
         host: str,
         port: int,
         drain_s: float,
-        connections: int = MAX_CONNECTIONS,
-        headers_s: float = HEADERS_TIMEOUT_S,
+        intake: Intake | None = None,
+        listener: str = "http",
+        body_bytes: int | None = None,
     ):
+        intake = intake or Intake(IntakeLimits(body_bytes=SMALL_BODY_BYTES))
         self._socket = socket.create_server((host, port), backlog=2048)
         # asyncio does not set this on sockets that are passed to it.  Without
         # it each response waits about 40 ms for the caller's delayed ACK,
         # because headers and body are separate writes.
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.port = self._socket.getsockname()[1]
+        # uvicorn would log each request that is not HTTP.
+        logging.getLogger("uvicorn.error").setLevel(logging.ERROR)
+        protocol = functools.partial(
+            LimitedProtocol,
+            intake,
+            listener,
+            min(intake.limits.body_bytes, body_bytes or intake.limits.body_bytes),
+        )
         self._config = uvicorn.Config(
             app,
-            http=_limited_protocol_class(connections, headers_s),
+            http=protocol,  # type: ignore[arg-type]
+            ws="none",
+            timeout_keep_alive=_KEEP_ALIVE_S,
             log_config=None,
             access_log=False,
             lifespan="off",
@@ -138,112 +148,3 @@
         self._server.request_exit()
         if self._task is not None:
             await self._task
-
-
-def _limited_protocol_class(connections: int, headers_s: float) -> type[H11Protocol]:
-    class LimitedProtocol(H11Protocol):
-        """HTTP/1.1 with a connection limit and timeouts for slow callers."""
-
-        _headers_timer: asyncio.TimerHandle | None = None
-        _write_timer: asyncio.TimerHandle | None = None
-        _close_after_call = False
-        _opened_at = 0.0
-
-        def connection_made(self, transport: Any) -> None:
-            super().connection_made(transport)
-            self._opened_at = self.loop.time()
-            if len(self.connections) > connections:
-                self._refuse(
-                    ResultCode.TOO_MANY_CONNECTIONS,
-                    f"this process has {connections} connections open",
-                )
-                return
-            self._start_headers_timer()
-
-        def connection_lost(self, exc: Exception | None) -> None:
-            self._cancel_headers_timer()
-            super().connection_lost(exc)
-
-        def data_received(self, data: bytes) -> None:
-            if not self._is_handling_call() and self._headers_timer is None:
-                self._start_headers_timer()
-            super().data_received(data)
-            if self._is_handling_call():
-                self._cancel_headers_timer()
-                if self._close_after_call:
-                    self.cycle.keep_alive = False
-
-        def pause_writing(self) -> None:
-            """Abort unless the caller resumes reading within ``headers_s``."""
-            super().pause_writing()
-            self._write_timer = self.loop.call_later(headers_s, self.transport.abort)
-
-        def resume_writing(self) -> None:
-            super().resume_writing()
-            if self._write_timer is not None:
-                self._write_timer.cancel()
-                self._write_timer = None
-
-        def shutdown(self) -> None:
-            """Close the connection, but a new one only after its first call.
-
-            A new connection was opened before the listener closed, so its
-            first call may be in transit and would fail if it were closed now.
-            One that sends no call in time gets a refusal.  A caller that then
-            sends its call in one piece still reads it.
-            """
-            if self.cycle is not None:
-                super().shutdown()
-                return
-            self._cancel_headers_timer()
-            self._close_after_call = True
-            self._headers_timer = self.loop.call_at(
-                max(
-                    self.loop.time() + FIRST_CALL_TIMEOUT_S,
-                    self._opened_at + NEW_CONNECTION_TIMEOUT_S,
-                ),
-                self._refuse,
-                ResultCode.STOPPING,
-                "this process is stopping",
-            )
-
-        def send_400_response(self, msg: str) -> None:
-            self._refuse(ResultCode.BAD_JSON, f"the call is not HTTP: {msg}", 400)
-
-        def _is_handling_call(self) -> bool:
-            return self.cycle is not None and not self.cycle.response_complete
-
-        def _start_headers_timer(self) -> None:
-            self._headers_timer = self.loop.call_later(
-                headers_s, self._on_headers_timeout
-            )
-
-        def _cancel_headers_timer(self) -> None:
-            if self._headers_timer is not None:
-                self._headers_timer.cancel()
-                self._headers_timer = None
-
-        def _on_headers_timeout(self) -> None:
-            self._refuse(
-                ResultCode.CALL_TOO_SLOW,
-                f"the headers did not arrive within {headers_s:g} s",
-            )
-
-        def _refuse(
-            self, code: ResultCode, message: str, status: int | None = None
-        ) -> None:
-            self._cancel_headers_timer()
-            if self.transport.is_closing():
-                return
-            body = json.dumps(error_body(code, message)).encode()
-            head = (
-                f"HTTP/1.1 {status or http_status(code)} Refused\r\n"
-                "Content-Type: application/json\r\n"
-                f"Content-Length: {len(body)}\r\n"
-                f"Retry-After: {RETRY_AFTER_S}\r\n"
-                "Connection: close\r\n\r\n"
-            )
-            self.transport.write(head.encode() + body)
-            self.transport.close()
-
-    return LimitedProtocol
--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -15,6 +15,7 @@
 from persimmonyard.daemon.control.transport import MESSAGE_OPTIONS, GrpcTransport
 from persimmonyard.daemon.disk_log import log_disk_event
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.intake import Intake
 from persimmonyard.daemon.jobs.durations import derive_durations
 from persimmonyard.daemon.jobs.inspection import describe_term, inspection_server
 from persimmonyard.daemon.jobs.job_service import JobService
@@ -93,7 +94,9 @@
         self._log = get_logger("control")
         self.store = JobStore()
         self.leader_term: LeaderTerm | None = None
+        self._intake = Intake(settings.intake_limits())
         self._metrics = JobMetrics()
+        self._metrics.watch_intake(self._intake)
         self._wall_clock = SteadyWallClock()
         self.service = JobService(self.store, lambda: self.leader_term, self._metrics)
         self._leader_client = LeaderClient([])
@@ -172,7 +175,12 @@
         await self._server.start()
         host, port = self._settings.addresses.listen_on(self.own_address())
         self._http = HttpServer(
-            self._build_app(self), host, port, self._durations.drain_s
+            self._build_app(self),
+            host,
+            port,
+            self._durations.drain_s,
+            self._intake,
+            "control",
         )
         await self._http.start()
         await self._start_inspection()
@@ -202,6 +210,7 @@
             self._dump,
             addresses.metrics_host(),
             addresses.metrics_port,
+            self._intake,
         )
         await self._inspection.start()
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/entry_process.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from persimmonyard.daemon.background import BackgroundTasks
-from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.http_server import SMALL_BODY_BYTES, HttpServer
+from persimmonyard.daemon.intake import Intake
 from persimmonyard.daemon.jobs.durations import derive_durations
 from persimmonyard.daemon.jobs.inspection import inspection_server
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
@@ -48,7 +49,9 @@
         self._log = get_logger("entry")
         self._durations = derive_durations(settings.bounds)
         self.client = LeaderClient(peer_seeds(settings), self._durations.failover_s)
+        self._intake = Intake(settings.intake_limits())
         self.metrics = JobMetrics()
+        self.metrics.watch_intake(self._intake)
         self.metrics.add_gauge(
             "ready", "1 if callers should be sent here.", lambda: self._leader_reached
         )
@@ -62,8 +65,10 @@
         """Start the servers for callers, readiness and inspection."""
         callers, readiness = self._build_apps(self)
         addresses = self._settings.addresses
-        self._caller_server = self._http_server(callers, addresses.callers)
-        self._readiness_server = self._http_server(readiness, addresses.readiness)
+        self._caller_server = self._http_server(callers, "callers", addresses.callers)
+        self._readiness_server = self._http_server(
+            readiness, "readiness", addresses.readiness, SMALL_BODY_BYTES
+        )
         await self._caller_server.start()
         await self._readiness_server.start()
         self._inspection = inspection_server(
@@ -71,6 +76,7 @@
             self._dump,
             addresses.metrics_host(),
             addresses.metrics_port,
+            self._intake,
         )
         await self._inspection.start()
         self._background.start("stall clock", self.stall_clock.run)
@@ -141,6 +147,9 @@
             self._log.info("readiness changed", leader_reached=leader_reached)
         self._leader_reached = leader_reached
 
-    def _http_server(self, app: Any, address: str) -> HttpServer:
+    def _http_server(
+        self, app: Any, listener: str, address: str, body_bytes: int | None = None
+    ) -> HttpServer:
         host, port = self._settings.addresses.listen_on(address)
-        return HttpServer(app, host, port, self._durations.drain_s)
+        drain_s = self._durations.drain_s
+        return HttpServer(app, host, port, drain_s, self._intake, listener, body_bytes)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
@@ -5,7 +5,8 @@
 
 from litestar import Litestar, Response, get
 
-from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.http_server import SMALL_BODY_BYTES, HttpServer
+from persimmonyard.daemon.intake import Intake
 from persimmonyard.daemon.metrics import ProcessMetrics
 
 if TYPE_CHECKING:
@@ -17,7 +18,11 @@
 
 
 def inspection_server(
-    metrics: ProcessMetrics, dump: Callable[[], dict[str, Any]], host: str, port: int
+    metrics: ProcessMetrics,
+    dump: Callable[[], dict[str, Any]],
+    host: str,
+    port: int,
+    intake: Intake,
 ) -> HttpServer:
     """Return a server for ``GET /metrics`` and ``GET /dump``."""
 
@@ -31,7 +36,7 @@
         return dump()
 
     app = Litestar([show_metrics, show_state], openapi_config=None, logging_config=None)
-    return HttpServer(app, host, port, _DRAIN_S)
+    return HttpServer(app, host, port, _DRAIN_S, intake, "inspection", SMALL_BODY_BYTES)
 
 
 def describe_term(term: "LeaderTerm") -> dict[str, Any]:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
@@ -5,11 +5,17 @@
 
 import msgspec
 
+from persimmonyard.daemon.intake import IntakeLimits
 from persimmonyard.model import ResultCode, UserError
 
 __all__ = ["BoundSettings", "JobSettings", "load_job_settings", "peer_seeds"]
 
 ROLES = ("job-entry", "job-control")
+# Limits on bodies of a process whose settings have none, in bytes.  Callers
+# may send 262,144 bytes unless operators allow more; upstreams' reports and
+# configurations may have 4 MiB.
+ENTRY_BODY_BYTES = 1 << 20
+CONTROL_BODY_BYTES = 4 << 20
 
 
 class ProcessSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -79,6 +85,14 @@
     addresses: AddressSettings
     group: GroupSettings
     bounds: BoundSettings
+    intake: IntakeLimits = IntakeLimits()
+
+    def intake_limits(self) -> IntakeLimits:
+        """Return the limits on connections, with those that go by the role."""
+        control = self.process.role == "job-control"
+        role_bytes = CONTROL_BODY_BYTES if control else ENTRY_BODY_BYTES
+        body_bytes = self.intake.body_bytes or role_bytes
+        return msgspec.structs.replace(self.intake, body_bytes=body_bytes)
 
 
 def load_job_settings(path: Path) -> JobSettings:
@@ -123,6 +137,10 @@
     for name, value in msgspec.structs.asdict(settings.bounds).items():
         if value <= 0:
             raise _invalid_setting(f"bounds.{name} is {value}; give a number above 0")
+    conflict = settings.intake_limits().find_conflict()
+    if conflict:
+        name, _, accepted = conflict.partition(" ")
+        raise _invalid_setting(f"intake.{name} must be {accepted}")
 
 
 def _invalid_setting(message: str) -> UserError:
--- a/packages/daemon/src/persimmonyard/daemon/metrics.py
+++ b/packages/daemon/src/persimmonyard/daemon/metrics.py
@@ -4,6 +4,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from persimmonyard.daemon.intake import Intake
+
 __all__ = ["EntryMetrics", "ProcessMetrics"]
 
 LATENCY_BUCKETS_S = [0.005, 0.02, 0.1, 0.5, 2.0, 7.3, 30.0, 120.0]
@@ -16,16 +18,35 @@
     def __init__(self) -> None:
         self._registry = Registry()
         self._gauge_readers: list[tuple[Gauge, Callable[[], float]]] = []
+        self._intake: Intake | None = None
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge with the value that ``read`` returns at each scrape."""
         gauge = Gauge(f"persimmonyard_{name}", help_text, registry=self._registry)
         self._gauge_readers.append((gauge, read))
 
+    def watch_intake(self, intake: Intake) -> None:
+        """Add what connections hold, and how many were refused or closed."""
+        self.add_gauge(
+            "intake_bytes",
+            "Bytes that connections hold, against intake.memory_bytes.",
+            lambda: intake.used_bytes,
+        )
+        self._intake = intake
+        self._refusals = Counter(
+            "persimmonyard_refused_connections_total",
+            "Connections refused or closed, by listener and reason.",
+            registry=self._registry,
+        )
+
     def text(self) -> tuple[bytes, str]:
         """Return the body and the content type of ``GET /metrics``."""
         for gauge, read in self._gauge_readers:
             gauge.set({}, float(read()))
+        if self._intake is not None:
+            for (listener, reason), count in self._intake.refusals.items():
+                labels = {"listener": listener, "reason": reason}
+                self._refusals.set(labels, count)
         content, _ = render(self._registry, [CONTENT_TYPE])
         return content, CONTENT_TYPE
 
--- a/packages/daemon/src/persimmonyard/daemon/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from persimmonyard.daemon.intake import IntakeLimits
 from persimmonyard.daemon.settings_checks import check_settings, validation_user_error
 from persimmonyard.model import ResultCode, UserError
 
@@ -67,6 +68,18 @@
     wait_s: float
 
 
+class IntakeSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """What connections may hold in memory, in bytes.
+
+    ``memory_bytes`` is for all of the process, ``connection_bytes`` for each;
+    0 leaves room for the largest body and its headers.
+    """
+
+    memory_bytes: int
+    connection_bytes: int
+    head_bytes: int
+
+
 class ShutdownSettings(msgspec.Struct, forbid_unknown_fields=True):
     """Durations of the phases of a graceful shutdown, in seconds."""
 
@@ -88,9 +101,24 @@
     control: ControlSettings
     access: AccessSettings
     limits: LimitSettings
+    intake: IntakeSettings
     shutdown: ShutdownSettings
     log: LogSettings
 
+    def intake_limits(self) -> IntakeLimits:
+        """Return the limits on the connections of the process."""
+        largest = self.limits.body_bytes + self.intake.head_bytes
+        return IntakeLimits(
+            memory_bytes=self.intake.memory_bytes,
+            connection_bytes=self.intake.connection_bytes or largest,
+            body_bytes=self.limits.body_bytes,
+            head_bytes=self.intake.head_bytes,
+            head_s=self.http.headers_s,
+            body_s=self.limits.body_s,
+            unread_answer_s=self.http.headers_s,
+            connections=self.limits.connections,
+        )
+
 
 def load_settings(path: Path) -> Settings:
     """Return the checked settings in the file at ``path``.
--- a/packages/daemon/src/persimmonyard/daemon/settings_checks.py
+++ b/packages/daemon/src/persimmonyard/daemon/settings_checks.py
@@ -38,6 +38,9 @@
     ("limits.waiting_requests", 0, 100_000, ""),
     ("limits.queued_commands", 1, 100_000, ""),
     ("limits.wait_s", 0.0, 3_600.0, " seconds"),
+    ("intake.memory_bytes", 65_536, 1 << 40, " bytes"),
+    ("intake.connection_bytes", 0, 1 << 40, " bytes"),
+    ("intake.head_bytes", 1_024, 1_048_576, " bytes"),
     ("shutdown.notice_s", 0.0, 600.0, " seconds"),
     ("shutdown.drain_s", 0.0, 3_600.0, " seconds"),
 )
@@ -76,6 +79,10 @@
     ``settings`` is a ``Settings`` object.
     """
     _check_ranges(settings)
+    conflict = settings.intake_limits().find_conflict()
+    if conflict:
+        key, _, accepted = conflict.partition(" ")
+        raise _bad_setting(f"intake.{key}", accepted)
     _check_process(settings)
     _check_addresses(settings)
     _check_hashes(settings)
--- a/test/daemon/fakes.py
+++ b/test/daemon/fakes.py
@@ -22,6 +22,7 @@
     AccessSettings,
     ControlSettings,
     HttpSettings,
+    IntakeSettings,
     LimitSettings,
     LogSettings,
     ProcessSettings,
@@ -98,6 +99,7 @@
         ControlSettings("127.0.0.1:0", "", {"control-1": "127.0.0.1:1"}),
         AccessSettings([hash_token("operator-token")], [hash_token("upstream-token")]),
         LimitSettings(**(values | limits)),
+        IntakeSettings(8 << 20, 0, 16_384),
         ShutdownSettings(0.0, 5.0),
         LogSettings("error"),
     )
--- a/test/daemon/jobs/test_log_table.py
+++ b/test/daemon/jobs/test_log_table.py
@@ -12,6 +12,7 @@
     ROOT / "packages/daemon/src/persimmonyard/daemon/serving.py",
     ROOT / "packages/daemon/src/persimmonyard/daemon/background.py",
     ROOT / "packages/daemon/src/persimmonyard/daemon/disk_log.py",
+    ROOT / "packages/daemon/src/persimmonyard/daemon/intake.py",
     ROOT / "platform/src",
 )
 LOG_TABLE = ROOT / "docs/logging.md"
--- a/test/daemon/test_filters.py
+++ b/test/daemon/test_filters.py
@@ -7,9 +7,11 @@
 from unittest import mock
 
 import httpx
+import msgspec
 
-from persimmonyard.daemon import http_server
+from persimmonyard.daemon import http_protocol
 from persimmonyard.daemon.http_server import HttpServer
+from persimmonyard.daemon.intake import Intake
 from test.daemon.fakes import CLINIC_HEADERS, OTHER_HEADERS, EntryHarness
 
 DEADLINE_S = 20.0
@@ -22,9 +24,15 @@
     async def serve(self, connections=64, headers_s=5.0, **limits):
         """Serve an entry with the given limits."""
         self.entry = EntryHarness(**limits)
-        self.server = HttpServer(
-            self.entry.app, "127.0.0.1", 0, 5.0, connections, headers_s
+        intake = Intake(
+            msgspec.structs.replace(
+                self.entry.settings.intake_limits(),
+                connections=connections,
+                head_s=headers_s,
+                unread_answer_s=headers_s,
+            )
         )
+        self.server = HttpServer(self.entry.app, "127.0.0.1", 0, 5.0, intake)
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
 
@@ -134,13 +142,13 @@
         reader, writer = await self.connect()
         await self.wait_until(lambda: self.server.connection_count() == 1)
         stop = asyncio.create_task(self.server.stop())
-        await asyncio.sleep(http_server.FIRST_CALL_TIMEOUT_S + 0.5)
+        await asyncio.sleep(http_protocol.FIRST_CALL_TIMEOUT_S + 0.5)
         writer.write(self.REQUEST)
         answer = await asyncio.wait_for(reader.read(), DEADLINE_S)
         self.assertIn(b"lease_valid", answer)
         await asyncio.wait_for(stop, DEADLINE_S)
 
-    @mock.patch.object(http_server, "NEW_CONNECTION_TIMEOUT_S", 600.0)
+    @mock.patch.object(http_protocol, "NEW_CONNECTION_TIMEOUT_S", 600.0)
     async def test_old_connection_is_refused_before_a_new_one(self):
         """Guards against a stop that waits long for unused connections.
 
@@ -189,7 +197,7 @@
         await self.connect()
         await self.wait_until(lambda: self.server.connection_count() == 1)
         (connection,) = self.server._server.server_state.connections
-        connection._cancel_headers_timer()
+        connection._cancel_arrival_timer()
         connection.pause_writing()
         await self.wait_until(lambda: self.server.connection_count() == 0)
 
--- a/test/daemon/test_hostile_callers.py
+++ b/test/daemon/test_hostile_callers.py
@@ -17,7 +17,6 @@
 import httpx
 import psutil
 
-from persimmonyard.daemon.jobs.settings import JobSettings
 from persimmonyard.standin.deployment import Deployment, bind_free_port
 from test.daemon.hostile_clients import Group, send_as_group
 from test.platform_adapter.test_end_to_end import (
@@ -179,9 +178,7 @@
         text = SETTINGS.format(
             name=role, role=role, folder=self.folder / "data", **self.port_by_use
         )
-        if "intake" in JobSettings.__struct_fields__:
-            text += INTAKE
-        path.write_text(text)
+        path.write_text(text + INTAKE)
         with open(self.folder / f"{role}.log", "wb") as log:
             self.process_by_role[role] = subprocess.Popen(
                 [sys.executable, "-m", "persimmonyard.platform.main"],
@@ -266,10 +263,7 @@
         """Start a process again with the lowered limits."""
         self.deployment.stop_process(name)
         path = self.deployment.folder / f"{name}.toml"
-        limits = LIMITS
-        if "intake" not in JobSettings.__struct_fields__:
-            limits = limits.partition("[intake]")[0]
-        path.write_text(path.read_text().partition("[limits]")[0] + limits)
+        path.write_text(path.read_text().partition("[limits]")[0] + LIMITS)
         self.deployment.start_process(name)
 
     def check(self, name, calls):
