--- a/packages/daemon/src/persimmonyard/daemon/http_protocol.py
+++ b/packages/daemon/src/persimmonyard/daemon/http_protocol.py
@@ -9,10 +9,14 @@
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from persimmonyard.daemon.errors import RETRY_AFTER_S, error_body, http_status
+from persimmonyard.daemon.http_parser import CountingConnection
 from persimmonyard.daemon.intake import CONNECTION_COST_BYTES, Intake
 from persimmonyard.model import ResultCode
 
-__all__ = ["LimitedProtocol"]
+__all__ = ["REFUSED_KEY", "LimitedProtocol"]
+
+# Set in the state of a scope whose request was refused while it arrived.
+REFUSED_KEY = "refused"
 
 # The largest read from a socket, in bytes.  A connection holds up to one read
 # of requests that it has sent ahead.  asyncio reads 256 KiB by default.
@@ -34,82 +38,6 @@
 _LINGER_BYTES = 4 << 20
 
 
-class _TooLargeError(h11.RemoteProtocolError):
-    """The head or the body of a request is over its limit."""
-
-
-class _CountingConnection(h11.Connection):
-    """Parses requests, and counts the bytes of the one in progress.
-
-    ``request_bytes`` are those of its head and body so far, without framing.
-    ``error`` is the error that ended the parsing.
-    """
-
-    def __init__(self, head_bytes: int, body_bytes: int):
-        super().__init__(h11.SERVER, head_bytes)
-        self._head_limit = head_bytes
-        self._body_limit = body_bytes
-        self._body_bytes = 0
-        self.request_bytes = 0
-        self.error: h11.RemoteProtocolError | None = None
-
-    def next_event(self) -> Any:
-        """Return the next event.
-
-        Raises ``h11.RemoteProtocolError`` for what is not HTTP, or over a
-        limit.
-        """
-        try:
-            event = super().next_event()
-            kind = type(event)
-            if kind is h11.Data:
-                self._count_body(len(event.data))  # type: ignore[union-attr]
-            elif kind is h11.Request:
-                self._check_head(event)
-            return event
-        except h11.RemoteProtocolError as error:
-            self.error = error
-            raise
-
-    def start_next_cycle(self) -> None:
-        """Begin to count the next request."""
-        super().start_next_cycle()
-        self._body_bytes = 0
-        self.request_bytes = 0
-
-    def unparsed_bytes(self) -> int:
-        """Return the bytes received that are not part of an event yet."""
-        return len(self._receive_buffer)
-
-    def _check_head(self, event: Any) -> None:
-        if event.method == b"CONNECT":
-            # An accepted one would turn the connection into a tunnel.
-            raise h11.RemoteProtocolError("CONNECT is not served")
-        size = len(event.target)
-        for name, value in event.headers:
-            size += len(name) + len(value) + 4
-            # Other values than digits are refused by h11.
-            if name == b"content-length" and int(value) > self._body_limit:
-                raise self._body_error()
-        self.request_bytes = size
-        if size > self._head_limit:
-            raise _TooLargeError(
-                f"the headers have more than {self._head_limit} bytes",
-                error_status_hint=431,
-            )
-
-    def _count_body(self, size: int) -> None:
-        self._body_bytes += size
-        self.request_bytes += size
-        if self._body_bytes > self._body_limit:
-            raise self._body_error()
-
-    def _body_error(self) -> _TooLargeError:
-        return _TooLargeError(
-            f"the body has more than {self._body_limit} bytes", error_status_hint=413
-        )
-
-
 class _GatedFlow(FlowControl):
     """Flow control that the protocol can keep from reading."""
 
@@ -130,7 +58,7 @@
     a whole.
     """
 
-    conn: _CountingConnection
+    conn: CountingConnection
 
     def __init__(
         self, intake: Intake, listener: str, body_bytes: int, *args: Any, **options: Any
@@ -139,7 +67,7 @@
         self._intake = intake
         self._listener = listener
         self._limits = intake.limits
-        self.conn = _CountingConnection(self._limits.head_bytes, body_bytes)
+        self.conn = CountingConnection(self._limits.head_bytes, body_bytes)
         self.charged_bytes = 0
         self.opened_number = 0
         self._opened_at = 0.0
@@ -407,6 +335,7 @@
     def _end_call(self) -> None:
         """Let the application see that the request has ended, and free it."""
         cycle = self.cycle
+        cycle.scope["state"][REFUSED_KEY] = True
         cycle.disconnected = True
         cycle.waiting_for_100_continue = False
         cycle.body = bytearray()
