--- a/test/daemon/jobs/test_interference.py
+++ b/test/daemon/jobs/test_interference.py
@@ -6,13 +6,15 @@
 
 from structlog.testing import capture_logs
 
+from persimmonyard.daemon.jobs.inspection import describe_term
 from persimmonyard.daemon.jobs.interference import InterferenceMonitor
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.task_run import RunState, TaskRun
 from persimmonyard.daemon.jobs.upstream_client import EndedRun, RunListing, RunningRun
 from persimmonyard.daemon.logs import get_logger
-from persimmonyard.jobs import JobStore, TaskEnd, TaskKey, UnitKey
-from test.jobs.fixtures import report, step
+from persimmonyard.jobs import JobStore, SubmitJob, TaskEnd, TaskKey, UnitKey
+from test.daemon.jobs.fakes import FakeUpstreamClient, InMemoryLeader, wait_until
+from test.jobs.fixtures import job, report, step
 
 
 class ListedUpstream:
@@ -267,5 +269,33 @@
         self.assertIn('persimmonyard_slowdown_factor{by="b__",slowed="a"}', text)
 
 
+class LeaderInterferenceTests(unittest.IsolatedAsyncioTestCase):
+    async def test_leader_keeps_tasks_apart_that_its_listings_showed(self):
+        """Guards against a pair that is learned and changes nothing."""
+        upstreams = FakeUpstreamClient()
+        leader = InMemoryLeader(upstreams)
+        leader.term.start()
+        self.addCleanup(leader.term.close)
+        monitor = leader.term.interference
+        for name in ("u1", "u2"):
+            upstreams.add(name)
+            leader.report(name)
+        for number in range(6):
+            upstream_id = f"x{number}"
+            now = leader.term.now()
+            monitor._model.observe("a", upstream_id, {}, {"b": 1}, 0.6, now)
+        await wait_until(monitor.known_effects)
+        (pair,) = describe_term(leader.term)["slowdowns"]
+        self.assertEqual(("a", "b", 0.6), (pair["slowed"], pair["by"], pair["factor"]))
+        for kind in "ab":
+            work = job(step(image=kind), job_id=kind * 16)
+            await leader.term.commit(SubmitJob(work))
+            await wait_until(
+                lambda work=work: leader.store.job_by_id[work.job_id].begun
+            )
+        self.assertEqual({"u1", "u2"}, set(leader.store.seats_by_upstream))
+        await wait_until(lambda: set(monitor._watch_by_id) == {"u1", "u2"})
+
+
 if __name__ == "__main__":
     unittest.main()
