Count the upstreams of each service by capacity

Admission control needs to know what the upstreams of a service could hold when empty. A look at all of 16,000 reports takes 28 to 38 ms for each job.

The store counts upstreams by capacity for each service and label as reports change, silent ones included.

--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -47,6 +47,7 @@
 )
 from persimmonyard.jobs.noted_speeds import NotedSpeeds
 from persimmonyard.jobs.records import JobRecord, SeatRecord, Unit, UnitStatus
+from persimmonyard.jobs.service_capacities import ServiceCapacities
 
 __all__ = ["JobStore"]
 
@@ -91,6 +92,8 @@
         self.noted_speeds = NotedSpeeds(self.report_by_upstream)
         # The last report of each upstream that is silent, by its address.
         self.silent_report_by_address: dict[str, UpstreamReport] = {}
+        # The capacities of the reports in both of these.
+        self.service_capacities = ServiceCapacities()
         self.seats_by_upstream: dict[str, dict[tuple[TaskKey, int], SeatRecord]] = {}
         # What each client account has running, and its limit.
         self.account_usage = AccountUsage()
@@ -143,6 +146,9 @@
         self.silent_report_by_address = {
             report.address: report for report in snapshot_data.silent_upstreams
         }
+        self.service_capacities = ServiceCapacities(
+            [*self.report_by_upstream.values(), *self.silent_report_by_address.values()]
+        )
         self.seats_by_upstream = {}
         self.account_usage.clear()
         self._account_rates.rate_by_account = snapshot_data.account_rates
@@ -252,17 +258,17 @@
             # not cancel it.
             report = report._replace(leaving=report.leaving or known.leaving)
         if known is not None and known.incarnation == report.incarnation:
-            self.report_by_upstream[report.upstream_id] = report
+            self._put_report(report)
             return []
         if self._has_successor(report):
             return []
         crashed = self._crash_accounting.crashed_before(report)
         for upstream_id, other in list(self.report_by_upstream.items()):
             if other.address == report.address:
-                del self.report_by_upstream[upstream_id]
+                self._pop_report(upstream_id)
                 self.noted_speeds.forget(upstream_id)
-        self.silent_report_by_address.pop(report.address, None)
-        self.report_by_upstream[report.upstream_id] = report
+        self._pop_silent_report(report.address)
+        self._put_report(report)
         return self._crash_accounting.record_incarnation(report, crashed, at_ms)
 
     def _note_silence(self, noted: RunSilence) -> None:
@@ -299,14 +305,32 @@
 
         If the upstream has crashed, its successor shows this later.
         """
-        report = self.report_by_upstream.pop(upstream_id, None)
+        report = self._pop_report(upstream_id)
         self.noted_speeds.forget(upstream_id)
         if report is None or report.leaving:
             return
-        self.silent_report_by_address.pop(report.address, None)
+        self._pop_silent_report(report.address)
         self.silent_report_by_address[report.address] = report
+        self.service_capacities.add(report)
         if len(self.silent_report_by_address) > _MAX_SILENT_REPORTS:
-            del self.silent_report_by_address[next(iter(self.silent_report_by_address))]
+            self._pop_silent_report(next(iter(self.silent_report_by_address)))
+
+    def _put_report(self, report: UpstreamReport) -> None:
+        # The report replaces the last one in its place: the order of reports
+        # is part of the state.
+        known = self.report_by_upstream.get(report.upstream_id)
+        self.service_capacities.discard(known)
+        self.report_by_upstream[report.upstream_id] = report
+        self.service_capacities.add(report)
+
+    def _pop_report(self, upstream_id: str) -> UpstreamReport | None:
+        report = self.report_by_upstream.pop(upstream_id, None)
+        self.service_capacities.discard(report)
+        return report
+
+    def _pop_silent_report(self, address: str) -> None:
+        report = self.silent_report_by_address.pop(address, None)
+        self.service_capacities.discard(report)
 
     def _has_successor(self, report: UpstreamReport) -> bool:
         """Return whether a later upstream has reported from the address."""
