Decide whether a job can ever start

A job that is larger than every upstream, or a gang above the limit of its account, waited until it expired.

decide_admission refuses such a job with a reason and a Retry-After.

--- a/packages/decisions/src/persimmonyard/decisions/__init__.py
+++ b/packages/decisions/src/persimmonyard/decisions/__init__.py
@@ -1,5 +1,15 @@
 """Scheduling decisions on facts, without a store, a clock or a network."""
 
+from persimmonyard.decisions.admission import (
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    AdmissionFacts,
+    Admit,
+    RefusalReason,
+    Refuse,
+    StepDemand,
+    decide_admission,
+)
 from persimmonyard.decisions.quota import (
     NO_RESOURCES,
     AccountUse,
@@ -30,20 +40,28 @@
 )
 
 __all__ = [
+    "MAX_RETRY_AFTER_S",
+    "MIN_RETRY_AFTER_S",
     "NO_RESOURCES",
     "AccountUse",
+    "AdmissionFacts",
+    "Admit",
     "Effect",
     "FastestFirst",
     "JobRate",
     "OverLimit",
+    "RefusalReason",
+    "Refuse",
     "ShareRank",
     "Slowed",
     "SlowestFirst",
     "SpeedOrder",
+    "StepDemand",
     "Undisturbed",
     "UnitPace",
     "WithinLimit",
     "choose_speed_order",
+    "decide_admission",
     "decide_quota",
     "decide_separation",
     "dominant_share",
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -11,6 +11,7 @@
     account_statuses,
     limit_reason,
 )
+from persimmonyard.jobs.admission import decide_job
 from persimmonyard.jobs.capacity import charged_resources
 from persimmonyard.jobs.changes import Change, JobEnded, RunPlaced, TaskEnded
 from persimmonyard.jobs.commands import (
@@ -141,6 +142,7 @@
     "account_statuses",
     "charged_resources",
     "configuration_problem",
+    "decide_job",
     "decide_without_leader",
     "decode_command",
     "encode_command",
