--- /dev/null
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_admission.py
@@ -0,0 +1,48 @@
+"""The refusal of submitted jobs, before anything of them is committed."""
+
+import random
+
+from persimmonyard.daemon.jobs.leader_term import LeaderTerm
+from persimmonyard.daemon.jobs.metrics import JobMetrics
+from persimmonyard.daemon.jobs.rpc import CallReply, Outcome
+from persimmonyard.decisions import Admit, RefusalReason, Refuse
+from persimmonyard.jobs import Job, decide_job
+
+__all__ = ["refuse"]
+
+
+def refuse(
+    job: Job, service: str, term: LeaderTerm, metrics: JobMetrics
+) -> CallReply | None:
+    """Return the reply to a job that is refused, or None for any other."""
+    decision = decide_job(term.store, job, service, _knows_fleet(term), random.random())
+    match decision:
+        case Admit():
+            return None
+        case Refuse(reason, retry_after_s):
+            metrics.record_refusal(reason, retry_after_s)
+            return CallReply(
+                Outcome.REFUSED,
+                detail=_detail(decision, job, service),
+                retry_after_s=retry_after_s,
+            )
+
+
+def _knows_fleet(term: LeaderTerm) -> bool:
+    """Return whether nearly all upstreams have reported to this leader.
+
+    When the whole service starts, no upstream is known from before, so the
+    time for their first reports has to have passed as well.
+    """
+    now = term.now()
+    return now > term.first_reports_until and term.fleet.is_mostly_known(now)
+
+
+def _detail(refusal: Refuse, job: Job, service: str) -> str:
+    unit = "gang" if job.steps[refusal.step].gang else "task"
+    subject = f"{refusal.reason}: a {unit} of step {refusal.step}"
+    match refusal.reason:
+        case RefusalReason.NO_UPSTREAM:
+            return f"{subject} does not fit the empty upstreams of {service!r}"
+        case RefusalReason.ACCOUNT_LIMIT:
+            return f"{subject} alone exceeds the limit of account {job.account!r}"
--- a/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/job_service.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from persimmonyard.daemon.jobs.explanation import JobExplanation, explain_job
+from persimmonyard.daemon.jobs.job_admission import refuse
 from persimmonyard.daemon.jobs.leader_term import LeaderTerm
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.placement_previews import (
@@ -159,6 +160,9 @@
             return job
         if job_id in self._store.job_by_id:
             return CallReply(Outcome.OK, detail="known")
+        refusal = refuse(job, resolved.route.service, term, self._metrics)
+        if refusal is not None:
+            return refusal
         await term.commit(SubmitJob(job))
         term.job_log.log_accepted(job)
         return CallReply(Outcome.OK)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -180,6 +180,8 @@
             else:
                 # Another leader was found just now.
                 attempt.reply.cancel()
+            if in_doubt and reply.outcome == Outcome.REFUSED:
+                break  # An earlier attempt may still be executed.
             return reply
         if attempt is not None:
             attempt.reply.cancel()
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -52,7 +52,7 @@
 
 
 # A new leader waits this many report intervals for the upstreams to report
-# before it preempts runs.
+# before it preempts runs or refuses jobs.
 _REPORTS_AWAITED = 1.5
 
 
@@ -91,7 +91,7 @@
         self.log = get_logger("jobs").bind(term=fence)
         self.fleet = Fleet(durations.report_valid_s)
         self._leader_contact_at = leader_contact_at
-        self._started_at = now()
+        self.first_reports_until = now() + _REPORTS_AWAITED * durations.heartbeat_s
         self._metrics = metrics
         # Set when a background task has failed or the lease has lapsed; the
         # process then replaces this object by a new one.
@@ -309,7 +309,7 @@
         until the upstreams have reported to the new leader.
         """
         now = self.now()
-        if now - self._started_at > _REPORTS_AWAITED * self.durations.heartbeat_s:
+        if now > self.first_reports_until:
             return True
         return self.fleet.is_mostly_known(now)
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/metrics.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/metrics.py
@@ -12,6 +12,8 @@
 
 # Known slowdowns that are shown, the strongest ones.
 _MAX_SLOWDOWNS = 20
+# The first four contain the half of the range of accounts below their share.
+_RETRY_AFTER_BUCKETS_S = [5.0, 9.0, 13.0, 17.0, 21.0, 25.0, 30.0]
 # Longest label value of a caller's choice, in characters.
 _MAX_LABEL_LENGTH = 100
 _UNSAFE_IN_LABELS = re.compile(r"[^A-Za-z0-9_./:@+-]")
@@ -46,6 +48,15 @@
         self._events = self._counter(
             "scheduling_events_total", "Preemptions, stalls, refusals and the like."
         )
+        self._refusals = self._counter(
+            "jobs_refused_total", "Jobs refused on submission, by reason."
+        )
+        self._retry_after_seconds = Histogram(
+            "persimmonyard_refusal_retry_after_seconds",
+            "Retry-After of refused jobs, by reason.",
+            registry=self._registry,
+            buckets=_RETRY_AFTER_BUCKETS_S,
+        )
         self._seats = self._counter(
             "separated_seats_total",
             "Seats chosen to keep tasks apart, or shared for lack of capacity.",
@@ -92,6 +103,12 @@
         """Record a decision that is neither a start nor an end."""
         self._events.inc({"event": event})
 
+    def record_refusal(self, reason: str, retry_after_s: int) -> None:
+        """Record a job that was refused on submission."""
+        labels = {"reason": str(reason)}
+        self._refusals.inc(labels)
+        self._retry_after_seconds.observe(labels, retry_after_s)
+
     def record_seats(self, kept_apart: int, shared: int) -> None:
         """Record the seats of a plan that known slowdowns decided."""
         if kept_apart:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
@@ -52,7 +52,8 @@
     """The outcome of a call.
 
     With ``UNKNOWN`` the call may have been executed.  With ``NOT_LEADER``,
-    ``NO_CONFIGURATION`` and ``TOO_MANY`` it was not, and may succeed later.
+    ``NO_CONFIGURATION``, ``TOO_MANY`` and ``REFUSED`` it was not, and may
+    succeed later.
     """
 
     OK = "ok"
@@ -62,6 +63,7 @@
     INVALID = "invalid"
     NO_CONFIGURATION = "no_configuration"
     TOO_MANY = "too_many"
+    REFUSED = "refused"
     NOT_LEADER = "not_leader"
     UNKNOWN = "unknown"
 
@@ -128,6 +130,8 @@
 
     ``clock_s`` is the clock of the leader, in seconds, in replies to probes.
     ``content`` is the text of a configuration, or an explanation in JSON.
+    ``retry_after_s`` is the delay in seconds after which the caller of a
+    refused job may return.
     """
 
     outcome: Outcome
@@ -138,6 +142,7 @@
     members: tuple[str, ...] = ()
     clock_s: float = 0.0
     content: bytes = b""
+    retry_after_s: int = 0
 
 
 Call = JobCall | OperatorCall | Probe | Join
--- /dev/null
+++ b/test/daemon/jobs/test_job_admission.py
@@ -0,0 +1,142 @@
+"""Tests of the refusal of jobs by a leader."""
+
+import unittest
+
+import msgspec
+import structlog.testing
+
+from persimmonyard.daemon.jobs.job_service import JobService
+from persimmonyard.daemon.jobs.metrics import JobMetrics
+from persimmonyard.daemon.jobs.rpc import JobCall, Outcome, Verb
+from persimmonyard.jobs import (
+    AccountSpec,
+    ForgetUpstreams,
+    NoteUpstreams,
+    PutConfiguration,
+    SetZone,
+)
+from persimmonyard.model import Resources
+from test.daemon.jobs.fakes import (
+    DURATIONS,
+    FakeUpstreamClient,
+    InMemoryLeader,
+    wait_until,
+)
+from test.jobs.fixtures import JOB_ID, configuration, job, report, step
+
+REPORTS_AT_ONCE = DURATIONS._replace(heartbeat_s=0.01)
+
+
+class JobAdmissionTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.metrics = JobMetrics()
+        self.upstreams = FakeUpstreamClient()
+        self.leader = InMemoryLeader(self.upstreams, durations=REPORTS_AT_ONCE)
+        self.service = JobService(
+            self.leader.store, lambda: self.leader.term, self.metrics
+        )
+        self.leader.term.start()
+        self.addCleanup(lambda: self.leader.term.close())
+
+    async def report(self, name, **fields):
+        """Report an upstream with 8 accelerators, and commit the report."""
+        self.upstreams.add(name)
+        self.leader.report(name, **fields)
+        await wait_until(lambda: name in self.leader.store.report_by_upstream)
+        await self.await_first_reports()
+
+    async def await_first_reports(self):
+        term = self.leader.term
+        await wait_until(lambda: term.now() > term.first_reports_until)
+
+    async def submit(self, *steps, job_id=JOB_ID):
+        path = f"/normal/{job_id}"
+        call = JobCall(Verb.SUBMIT, "h.example", path, "key-1", job(*steps))
+        return await self.service.answer(call)
+
+    async def limit(self, version, accelerators):
+        account = AccountSpec("clinic", ("key-1",), 0, Resources(accelerators, 0, 0))
+        changed = msgspec.structs.replace(configuration(version), accounts=(account,))
+        await self.leader.term.commit(PutConfiguration(changed))
+
+    async def assert_refused(self, reason, *steps):
+        job_count = len(self.leader.store.job_by_id)
+        reply = await self.submit(*steps, job_id="00000000000000ff")
+        self.assertEqual(Outcome.REFUSED, reply.outcome)
+        self.assertTrue(reply.detail.startswith(reason), reply.detail)
+        self.assertGreater(reply.retry_after_s, 0)
+        self.assertEqual(job_count, len(self.leader.store.job_by_id))
+
+    async def test_silent_and_leaving_upstreams_count(self):
+        """Guards against refusals because of upstreams that come back.
+
+        Of four upstreams one is silent, one leaves, and one is in an
+        availability zone out of service.
+        """
+        await self.leader.term.commit(NoteUpstreams((report("u1"),)))
+        await self.leader.term.commit(ForgetUpstreams(("u1",)))
+        await self.report("u2", leaving=True, remaining_ms=60_000)
+        await self.report("u3", zone="z2")
+        await self.report("u4")
+        await self.leader.term.commit(SetZone("z2", True))
+        gang = step(count=32, gang=True)
+        await self.assert_refused("no_upstream", step(count=33, gang=True))
+        self.assertEqual(Outcome.OK, (await self.submit(gang)).outcome)
+
+    async def test_label_and_limit_per_upstream_count(self):
+        """Guards against gangs that wait for upstreams without the label."""
+        await self.report("u1", rack="r1")
+        await self.report("u2", rack="r2")
+        await self.assert_refused("no_upstream", step(label="b"))
+        one_rack = step(count=9, gang=True, label="r1")
+        await self.assert_refused("no_upstream", step(), one_rack)
+        gang = {"gang": True, "per_upstream": 2}
+        await self.assert_refused("no_upstream", step(count=5, **gang))
+        self.assertEqual(Outcome.OK, (await self.submit(step(4, **gang))).outcome)
+
+    async def test_lowered_limit_refuses_new_gangs_and_knows_earlier_ones(self):
+        """Guards against a lost acknowledgement of a job that was accepted."""
+        await self.report("u1")
+        gang = step(count=4, gang=True)
+        await self.limit(2, 4)
+        self.assertEqual(Outcome.OK, (await self.submit(gang)).outcome)
+        await self.limit(3, 3)
+        await self.assert_refused("account_limit", gang)
+        reply = await self.submit(gang)
+        self.assertEqual((Outcome.OK, "known"), (reply.outcome, reply.detail))
+        separate = await self.submit(step(count=4), job_id="00000000000000b2")
+        self.assertEqual(Outcome.OK, separate.outcome)
+
+    async def test_new_leader_refuses_nothing_until_it_knows_the_fleet(self):
+        """Guards against refusals while upstreams move to a new leader."""
+        await self.report("u1")
+        too_large = step(gpu=9)
+        await self.assert_refused("no_upstream", too_large)
+        self.leader.term.close()
+        self.leader.term = self.leader.build_term(2)
+        self.leader.term.start()
+        await self.await_first_reports()
+        accepted = await self.submit(too_large)
+        self.assertEqual(Outcome.OK, accepted.outcome)
+        await self.report("u1", sequence=2)
+        await self.assert_refused("no_upstream", too_large)
+
+    async def test_service_without_reports_refuses_nothing(self):
+        """Guards against refusals before the first upstream has started."""
+        await self.await_first_reports()
+        self.assertEqual(Outcome.OK, (await self.submit(step(gpu=99))).outcome)
+
+    async def test_refusal_is_logged_once_and_counted(self):
+        """Guards against refusals that operators cannot see."""
+        await self.report("u1")
+        with structlog.testing.capture_logs() as events:
+            await self.assert_refused("no_upstream", step(gpu=9))
+        logged = [(event["event"], event["outcome"]) for event in events]
+        self.assertEqual([("call answered", "refused")], logged)
+        text = self.metrics.text()[0].decode()
+        self.assertIn('jobs_refused_total{reason="no_upstream"} 1', text)
+        self.assertIn("refusal_retry_after_seconds_bucket{", text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/daemon/jobs/test_leader_client.py
+++ b/test/daemon/jobs/test_leader_client.py
@@ -164,6 +164,24 @@
         self.assertTrue(received)
         self.assertEqual(Outcome.UNKNOWN, reply.outcome)
 
+    async def test_refusal_after_a_call_in_doubt_stays_in_doubt(self):
+        """Guards against a refused job that runs.
+
+        The first attempt is without an answer and may still be executed.
+        """
+        outcomes = [Outcome.UNKNOWN]
+
+        async def lead(call, context):
+            if isinstance(call, Probe):
+                return CallReply(Outcome.OK)
+            return CallReply(outcomes.pop() if outcomes else Outcome.REFUSED)
+
+        client = self.client(await self.serve(lead))
+        reply = await client.call(SUBMIT_CALL, CONNECT_DEADLINE_S)
+        self.assertEqual(([], Outcome.UNKNOWN), (outcomes, reply.outcome))
+        reply = await client.call(SUBMIT_CALL, CONNECT_DEADLINE_S)
+        self.assertEqual(Outcome.REFUSED, reply.outcome)
+
     async def test_silent_instance_leaves_time_for_the_leader(self):
         """Guards against a call that waits for an unreachable instance.
 
