--- a/test/daemon/jobs/test_job_admission.py
+++ b/test/daemon/jobs/test_job_admission.py
@@ -32,9 +32,8 @@
         self.metrics = JobMetrics()
         self.upstreams = FakeUpstreamClient()
         self.leader = InMemoryLeader(self.upstreams, durations=REPORTS_AT_ONCE)
-        self.service = JobService(
-            self.leader.store, lambda: self.leader.term, self.metrics
-        )
+        store = self.leader.store
+        self.service = JobService(store, lambda: self.leader.term, self.metrics)
         self.leader.term.start()
         self.addCleanup(lambda: self.leader.term.close())
 
@@ -128,7 +127,6 @@
         The first upstream that reports may be the smallest.
         """
         self.leader.term.first_reports_until = self.leader.term.now() + 600.0
-        self.upstreams.add("u1")
         self.leader.report("u1")
         await wait_until(lambda: self.leader.store.report_by_upstream)
         self.assertEqual(Outcome.OK, (await self.submit(step(gpu=9))).outcome)
@@ -164,7 +162,3 @@
         text = self.metrics.text()[0].decode()
         self.assertIn('jobs_refused_total{reason="no_upstream"} 1', text)
         self.assertIn("refusal_retry_after_seconds_bucket{", text)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/test/decisions/test_admission.py
+++ b/test/decisions/test_admission.py
@@ -59,9 +59,8 @@
         """Guards against a job that is stuck after its first step."""
         fits = demand((1, 0, 0))
         refusal = decide(fits, fits, demand((1, 0, 0), over_limit=True))
-        self.assertEqual(
-            Refuse(RefusalReason.ACCOUNT_LIMIT, MIN_RETRY_AFTER_S, 2), refusal
-        )
+        limit = RefusalReason.ACCOUNT_LIMIT
+        self.assertEqual(Refuse(limit, MIN_RETRY_AFTER_S, 2), refusal)
 
     def test_unknown_fleet_refuses_nothing(self):
         """Guards against refusals by a leader that has few reports yet."""
@@ -70,22 +69,15 @@
 
     def test_callers_return_spread_and_accounts_below_their_share_first(self):
         """Guards against refused callers that all return in one second."""
-        delays_by_rank = {}
-        for rank in (*ShareRank, None):
-            delays = set()
+        delays_by_rank = {rank: set() for rank in (*ShareRank, None)}
+        too_large = demand((99, 0, 0))
+        for rank, delays in delays_by_rank.items():
             for draw in range(1_000):
-                too_large = demand((99, 0, 0))
                 refusal = decide(too_large, rank=rank, spread=draw / 1_000)
                 delays.add(refusal.retry_after_s)
-            delays_by_rank[rank] = delays
         below = delays_by_rank[ShareRank.BELOW_SHARE]
         others = delays_by_rank[ShareRank.AT_SHARE]
         self.assertLess(max(below), min(others))
-        self.assertEqual(
-            set(range(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S + 1)), below | others
-        )
-        self.assertEqual(below | others, delays_by_rank[None])
-
-
-if __name__ == "__main__":
-    unittest.main()
+        whole_range = set(range(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S + 1))
+        self.assertEqual(whole_range, below | others)
+        self.assertEqual(whole_range, delays_by_rank[None])
--- a/test/jobs/test_service_capacities.py
+++ b/test/jobs/test_service_capacities.py
@@ -38,7 +38,3 @@
         restored = JobStore()
         restored.restore(store.snapshot())
         self.assertEqual(counted, vars(restored.service_capacities))
-
-
-if __name__ == "__main__":
-    unittest.main()
