--- a/packages/decisions/src/persimmonyard/decisions/admission.py
+++ b/packages/decisions/src/persimmonyard/decisions/admission.py
@@ -26,10 +26,9 @@
 ]
 
 # Range of Retry-After, in whole seconds.  A refusal holds until a larger
-# upstream joins or another configuration is accepted.  A caller that returns
-# sooner than 5 s would find neither, and 30 s is the longest deadline of a
-# call, so no caller waits longer than for an answer.  The 26 values leave at
-# most a 26th of the callers (a 13th of one half) to any one second.
+# upstream joins or another configuration is accepted, which is rare within
+# 5 s; 30 s is the longest deadline of a call.  The 26 values leave at most a
+# 13th of the callers of one half of the range to any one second.
 MIN_RETRY_AFTER_S = 5
 MAX_RETRY_AFTER_S = 30
 
