Rank candidates again only where a seat was taken

A seeded test compares both orders on 20 random fleets. Where tasks slow each other down, all candidates are still compared.

--- a/packages/jobs/src/persimmonyard/jobs/seating.py
+++ b/packages/jobs/src/persimmonyard/jobs/seating.py
@@ -24,12 +24,12 @@
     least_busy_fit,
 )
 from persimmonyard.jobs.commands import Seat
-from persimmonyard.jobs.crash_isolation import rank_for_suspect
 from persimmonyard.jobs.guarantees import GUARANTEED_WAIT_S
 from persimmonyard.jobs.interference import Interference
 from persimmonyard.jobs.model import GANG_TASK, Step, UnitKey
 from persimmonyard.jobs.records import Unit
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
+from persimmonyard.jobs.seat_ranking import SeatRanking, UnitTasks, seat_source
 from persimmonyard.jobs.store import JobStore
 from persimmonyard.jobs.waiting_queue import WaitingUnits
 
@@ -49,21 +49,11 @@
 _MAX_IDLE_SHARE = 0.1
 
 
-class _UnitTasks(NamedTuple):
-    """The tasks of a unit, and how their seats are chosen."""
-
-    key: UnitKey
-    step: Step
-    tasks: list[int]
-    apart: bool
-    order: SpeedOrder
-
-
 class _GroupChoice(NamedTuple):
     """Upstreams on which a unit fits, and the idle share of its time."""
 
     idle_share: float
-    unit_tasks: _UnitTasks
+    unit_tasks: UnitTasks
     members: list[UpstreamCapacity]
 
 
@@ -149,7 +139,7 @@
             # While crashes are common, one right after a start gives no reason
             # for suspicion, but the next start should prove more.
             apart = unit.starts_apart() or unit.crashed_at_start()
-            unit_tasks = _UnitTasks(key, step, tasks, apart, order)
+            unit_tasks = UnitTasks(key, step, tasks, apart, order)
             choice = self._choose_in_group(unit_tasks, group)
             if choice is None:
                 continue
@@ -183,7 +173,7 @@
         return choose_speed_order(UnitPace(work_ms, slack_ms, waiting.route.stretch))
 
     def _choose_in_group(
-        self, unit_tasks: _UnitTasks, group: list[UpstreamCapacity]
+        self, unit_tasks: UnitTasks, group: list[UpstreamCapacity]
     ) -> _GroupChoice | None:
         """Return the members of a group that suit a unit best, or None.
 
@@ -215,7 +205,7 @@
         return best
 
     def _assign_tasks(
-        self, unit_tasks: _UnitTasks, candidates: list[UpstreamCapacity]
+        self, unit_tasks: UnitTasks, candidates: list[UpstreamCapacity]
     ) -> list[_AssignedSeat]:
         """Assign all tasks to candidates by best fit, or none of them.
 
@@ -224,57 +214,21 @@
         another only waits for it.  Among candidates of the same speed, those
         where no task is slowed down by another come first.
         """
-        key, step, tasks, apart, order = unit_tasks
-        fastest_first = isinstance(order, FastestFirst) and len(tasks) == 1
+        key, step, tasks, _, _ = unit_tasks
         needs = charged_resources(step)
         count_by_id = self._task_counts(key, step)
-        assigned: list[_AssignedSeat] = []
         free_by_rack = self._free_by_rack
-        interference = self._interference
-        effects = interference.effects_on(key, step)
+        ranking = SeatRanking(
+            unit_tasks, count_by_id, free_by_rack, self._interference, self._wall_ms
+        )
+        find_best, record_taken = seat_source(ranking, candidates, len(tasks))
+        assigned: list[_AssignedSeat] = []
         for task in tasks:
-            best = None
-            # The ranks of candidates where a task would be slowed down, as if
-            # none were.
-            disturbed: list[tuple] = []
-            for candidate in candidates:
-                report = candidate.upstream.report
-                if not needs.fits(candidate.free) or not needs.fits(
-                    candidate.future_free
-                ):
-                    continue
-                count = count_by_id.get(report.upstream_id, 0)
-                if step.per_upstream and count >= step.per_upstream:
-                    continue
-                level = candidate.speed_level
-                # Fill the fullest upstreams and racks first, so that others
-                # stay empty for work that needs a whole upstream or much of
-                # a rack.
-                rank = (
-                    rank_for_suspect(candidate, self._wall_ms) if apart else (),
-                    -level if fastest_first else level,
-                    0.0,
-                    candidate.free.accelerators,
-                    free_by_rack[report.rack],
-                    candidate.free.cores,
-                    report.upstream_id,
-                )
-                if best is not None and best[0] < rank:
-                    continue
-                if effects:
-                    loss = interference.loss(candidate, effects)
-                    if loss:
-                        disturbed.append(rank)
-                        rank = (*rank[:2], loss, *rank[3:])
-                        if best is not None and best[0] < rank:
-                            continue
-                best = (rank, candidate)
+            best = find_best()
             if best is None:
                 self._release(unit_tasks, assigned)
                 return []
-            rank, candidate = best
-            shared = rank[2] > 0.0
-            kept_apart = not shared and any(other < rank for other in disturbed)
+            candidate, kept_apart, shared = best
             report = candidate.upstream.report
             candidate.free = candidate.free.minus(needs)
             candidate.future_free = candidate.future_free.minus(needs)
@@ -282,7 +236,8 @@
             count_by_id[report.upstream_id] = count_by_id.get(report.upstream_id, 0) + 1
             placed_before_ms = candidate.placed_ms
             candidate.placed_ms = self._wall_ms
-            interference.add(candidate, key, step, 1)
+            self._interference.add(candidate, key, step, 1)
+            record_taken(report.rack)
             seat = Seat(
                 task,
                 report.upstream_id,
@@ -295,7 +250,7 @@
             )
         return assigned
 
-    def _release(self, unit_tasks: _UnitTasks, assigned: list[_AssignedSeat]) -> None:
+    def _release(self, unit_tasks: UnitTasks, assigned: list[_AssignedSeat]) -> None:
         """Give back the capacity that ``_assign_tasks`` has taken."""
         needs = charged_resources(unit_tasks.step)
         count_by_id = self._task_counts(unit_tasks.key, unit_tasks.step)
--- a/test/jobs/test_seating.py
+++ b/test/jobs/test_seating.py
@@ -4,10 +4,12 @@
 reference speed, on which urgent gangs arrive between work that can wait.
 """
 
+import random
 import unittest
+from unittest import mock
 
 from persimmonyard.estimation import SpeedModel
-from persimmonyard.jobs import Planner, RunProgress, RunTimeEstimator
+from persimmonyard.jobs import Planner, RunProgress, RunTimeEstimator, seating
 from test.jobs.fixtures import Cluster, step
 
 FACTORS = {"slow": 0.6, "even": 1.0, "fast": 1.6}
@@ -87,3 +89,44 @@
         plan = self.cluster.plan()
         self.assertEqual(1, len(plan.placements))
         self.assertEqual(3, len(plan.placements[0].seats))
+
+
+def _compare_all(ranking, candidates, tasks):
+    """Replace ``seat_source`` by comparing all candidates for each task."""
+    return lambda: ranking.best(candidates), lambda rack: None
+
+
+class SeatOrderTests(unittest.TestCase):
+    def seats(self, seed):
+        """Return the seats that a plan assigns on a random fleet."""
+        draw = random.Random(seed)
+        cluster = Cluster()
+        speeds = SpeedModel()
+        cluster.planner = Planner(
+            cluster.store, cluster.fleet, RunTimeEstimator(), speeds
+        )
+        for number in range(40):
+            name = f"u{number}"
+            cluster.add(name, rack=f"r{draw.randrange(6)}", gpu=draw.randint(1, 8))
+            speeds.seed(name, draw.choice((0.6, 1.0, 1.6)))
+        for number in range(12):
+            cluster.submit(
+                step(
+                    draw.randint(1, 12),
+                    gpu=draw.choice((1, 1, 2, 4)),
+                    gang=True,
+                    one_rack=draw.random() < 0.5,
+                    per_upstream=draw.choice((0, 0, 1, 2)),
+                ),
+                job_id=f"{number:016x}",
+                route=draw.choice(("urgent", "normal", "batch")),
+            )
+        return [(p.key, p.seats) for p in cluster.place().placements]
+
+    def test_queue_takes_the_seats_that_comparing_all_candidates_takes(self):
+        """Guards against a queue with outdated ranks of a rack."""
+        for seed in range(20):
+            queued = self.seats(seed)
+            with mock.patch.object(seating, "seat_source", _compare_all):
+                self.assertEqual(self.seats(seed), queued)
+            self.assertGreater(len(queued), 3)
