Draw no conclusions from a listing with a full page of ends

Cause: an upstream lists at most 500 ends at a time. A run whose end was on a later page counted as absent, and after an answered stop as never started. The poll after the stop carried the cursor from before the first page, so it got the same page.

Change: RunListing.complete is false for a full page, and only a complete listing resolves the runs that it leaves out. The size of a page is known in the adapter of the platform.

Why it works: every conclusion from absence is drawn in one place. A poll after an incomplete one either lists the end or is complete.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -49,7 +49,8 @@
 
     A poll loop renews the lease and waits for ends; each start and stop is a
     separate asyncio task.  An end is acknowledged only after it is committed,
-    because the upstream then deletes it.
+    because the upstream then deletes it.  Only a complete listing shows that a
+    run is not present.
     """
 
     def __init__(self, leader_term: "LeaderTerm", upstream: Upstream):
@@ -330,11 +331,16 @@
             )
         self._term.interference.observe_listing(self, listing, now)
         ends = self._collect_ends(listing.ended, listed)
-        for task_run in list(self.task_run_by_key.values()):
-            if (task_run.task_key, task_run.run) not in listed:
-                end = self._resolve_unlisted(task_run, sent_at)
-                if end is not None:
-                    ends.append(end)
+        if listing.complete:
+            ends += self._resolve_all_unlisted(listed, sent_at)
+        else:
+            self._term.record_event("listing_incomplete")
+            self._term.log.info(
+                "listing incomplete",
+                upstream=upstream.report.upstream_id,
+                ends=len(listing.ended),
+                runs=len(self.task_run_by_key),
+            )
         if ends:
             await self._term.commit_ends(ends)
         if upstream is not self.upstream:
@@ -358,6 +364,19 @@
                 ends.append(self.run_end(task_run, listed_run.end, checkpoint))
         return ends
 
+    def _resolve_all_unlisted(
+        self, listed: set[tuple[TaskKey, int]], sent_at: float
+    ) -> list[RunEnd]:
+        """Return the ends of the runs that a complete listing leaves out."""
+        ends = []
+        for key, task_run in list(self.task_run_by_key.items()):
+            if key in listed:
+                continue
+            end = self._resolve_unlisted(task_run, sent_at)
+            if end is not None:
+                ends.append(end)
+        return ends
+
     def _resolve_unlisted(self, task_run: TaskRun, sent_at: float) -> RunEnd | None:
         """Return the end of a run that a poll did not list.
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/upstream_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/upstream_client.py
@@ -89,12 +89,17 @@
 
 
 class RunListing(NamedTuple):
-    """All runs on an upstream, and the ends that are not acknowledged."""
+    """All runs on an upstream, and the ends that are not acknowledged.
+
+    An upstream lists its ends in pages.  If ``complete`` is false, it may have
+    more ends than those listed, and a run that is not listed may have ended.
+    """
 
     clock_ms: int
     incarnation: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    complete: bool = True
 
 
 class UpstreamClient(Protocol):
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -120,6 +120,7 @@
 class FakeUpstreamClient:
     """An upstream client for fake upstreams, by address.
 
+    A listing has at most ``page_size`` ends, and all of them without one.
     Upstreams in ``silent`` don't answer.  Upstreams in ``delayed`` don't
     answer starts, which are kept in ``delayed_starts``.  The clock of all
     upstreams is ``clock_ahead_ms`` ahead, and ``late_starts`` counts the
@@ -135,6 +136,7 @@
         self.refusal = None
         self.clock_ahead_ms = 0
         self.late_starts = 0
+        self.page_size = None
 
     def clock_ms(self):
         return clock_ms() + self.clock_ahead_ms
@@ -185,8 +187,12 @@
         running = []
         for task_key, run in upstream.running.items():
             running.append(RunningRun(task_key, run, "", 10))
-        ended = tuple(self._unacknowledged_ends(upstream, acknowledged_end))
-        return RunListing(self.clock_ms(), upstream.incarnation, tuple(running), ended)
+        unacknowledged = self._unacknowledged_ends(upstream, acknowledged_end)
+        ended = tuple(unacknowledged[: self.page_size])
+        complete = self.page_size is None or len(ended) < self.page_size
+        return RunListing(
+            self.clock_ms(), upstream.incarnation, tuple(running), ended, complete
+        )
 
     def _unacknowledged_ends(self, upstream, acknowledged_end):
         return [ended for ended in upstream.ended if ended.number > acknowledged_end]
--- a/test/platform_adapter/test_codec.py
+++ b/test/platform_adapter/test_codec.py
@@ -342,6 +342,17 @@
         self.assertEqual(TaskEnd.DONE, listing.ended[0].end)
         self.assertEqual(task_name, format_task_key(expected))
 
+    def test_full_page_of_ends_is_not_complete(self):
+        """Guards against a finished task that counts as never started.
+
+        The platform lists 500 ends at a time.
+        """
+        for count, complete in ((0, True), (499, True), (500, False)):
+            ended = [[n + 1, f"a.0.0.{n}", 1, "done", ""] for n in range(count)]
+            body = {"clock_ms": 5, "born": 9, "running": [], "ended": ended}
+            listing = decode_listing(encode(body), NOW_MS)
+            self.assertEqual(complete, listing.complete, count)
+
     def test_unknown_ends_are_rejected(self):
         """Guards against guessing the meaning of an unknown kind of end."""
         body = {"clock_ms": 5, "ended": [[1, "a.0.0.0", 1, "vanished", ""]]}
