Return to an upstream where a run has failed after a delay

Cause: such an upstream was left out if the unit would fit on the others when empty. What ran there, without an end, did not count.

Change: the upstreams where a unit has not failed are tried first.

--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -35,6 +35,7 @@
     Preemption,
 )
 from persimmonyard.jobs.preemption import RunProgress, VictimSelector
+from persimmonyard.jobs.retry_delay import RetryDelays
 from persimmonyard.jobs.run_time_estimator import RunTimeEstimator
 from persimmonyard.jobs.seating import SeatAssigner
 from persimmonyard.jobs.store import JobStore
@@ -70,6 +71,7 @@
         self._estimator = estimator
         self._queue = WaitingQueue(store, estimator)
         self._separation = Separation()
+        self._retry_delays = RetryDelays()
 
     @property
     def next_due_ms(self) -> int | None:
@@ -108,6 +110,9 @@
         self._separation.forget_placed(
             key for waiting in ready for key, _ in waiting.units
         )
+        self._retry_delays.forget_placed(
+            unit for waiting in ready for unit in waiting.units
+        )
         victim_selector = VictimSelector(
             self._store, self._estimator, runs, guaranteed_jobs, wall_ms
         )
@@ -124,6 +129,7 @@
             victim_selector,
             PlannedUsage(self._store.account_usage),
             self._separation,
+            self._retry_delays,
             recorder,
         )
         plan = planning_round.run(ready)
--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -27,6 +27,7 @@
 from persimmonyard.jobs.plan_recorder import PlanRecorder
 from persimmonyard.jobs.preemption import Reservation, VictimSelector
 from persimmonyard.jobs.records import Unit
+from persimmonyard.jobs.retry_delay import RetryDelays
 from persimmonyard.jobs.seating import SeatAssigner, candidate_groups
 from persimmonyard.jobs.waiting_queue import WaitingUnits
 
@@ -114,6 +115,7 @@
         victim_selector: VictimSelector,
         planned_usage: PlannedUsage,
         separation: Separation,
+        retry_delays: RetryDelays,
         recorder: PlanRecorder | None = None,
     ):
         self._facts = facts
@@ -121,6 +123,7 @@
         self._victim_selector = victim_selector
         self._planned_usage = planned_usage
         self._separation = separation
+        self._retry_delays = retry_delays
         self._recorder = recorder
         self._plan = Plan()
         self._tasks_left = _MAX_TASKS_PER_PLAN
@@ -186,17 +189,18 @@
     def _decide_unit(
         self, waiting: WaitingUnits, key: UnitKey, unit: Unit
     ) -> _Placed | _MakingRoom | _NoRoom:
-        candidates = self._candidates(waiting, key, unit)
-        fast_enough = self._seating.fast_enough(waiting, candidates)
-        groups = [fast_enough]
-        if len(fast_enough) < len(candidates):
-            groups.append(candidates)
-        for group in groups:
-            seats = self._seating.assign(waiting, key, unit, group)
-            if seats:
-                return _Placed(seats, candidates)
-            if self._make_room(waiting, key, group):
-                return _MakingRoom(group)
+        candidates: list[UpstreamCapacity] = []
+        for candidates in self._candidate_tiers(waiting, key, unit):
+            fast_enough = self._seating.fast_enough(waiting, candidates)
+            groups = [fast_enough]
+            if len(fast_enough) < len(candidates):
+                groups.append(candidates)
+            for group in groups:
+                seats = self._seating.assign(waiting, key, unit, group)
+                if seats:
+                    return _Placed(seats, candidates)
+                if self._make_room(waiting, key, group):
+                    return _MakingRoom(group)
         return _NoRoom(candidates)
 
     def _make_room_within_limit(
@@ -218,7 +222,8 @@
             self._plan.preemptions.append(Preemption(*run_key, key))
             self._victim_selector.mark_stopping(run_key)
         self._planned_usage.add(account, waiting.step)
-        self._make_room(waiting, key, self._candidates(waiting, key, unit))
+        preferred = self._candidate_tiers(waiting, key, unit)[0]
+        self._make_room(waiting, key, preferred)
 
     def _place(self, key: UnitKey, unit: Unit, seats: list[Seat]) -> None:
         if unit.starts_apart():
@@ -246,12 +251,45 @@
             waiting, key, seats, candidates, self._facts.capacity_by_id
         )
 
-    def _candidates(
+    def _candidate_tiers(
         self, waiting: WaitingUnits, key: UnitKey, unit: Unit
-    ) -> list[UpstreamCapacity]:
-        """Return the upstreams on which a unit may run, also full ones."""
+    ) -> list[list[UpstreamCapacity]]:
+        """Return the upstreams on which a unit may run, also full ones.
+
+        The first list has those where no run of it has failed, if it would
+        fit on them when they are empty.  The second one follows once the unit
+        has waited for these long enough, and has the others as well.
+        """
         step = waiting.step
         tasks = step.count if step.gang else 1
+        usable = self._usable(waiting, unit)
+        preferred = usable
+        avoided = set(unit.avoid)
+        if avoided:
+            others = [
+                candidate
+                for candidate in usable
+                if candidate.upstream.report.upstream_id not in avoided
+            ]
+            if fits_when_empty(step, tasks, others):
+                preferred = others
+        tiers = [preferred]
+        if len(preferred) < len(usable) and self._retry_delays.is_over(
+            key, unit, step, self._facts.wall_ms
+        ):
+            tiers.append(usable)
+        if unit.crashes:
+            tiers = [away_from_crashes(unit, step, tasks, tier) for tier in tiers]
+        if unit.starts_apart():
+            tiers = [
+                self._separation.filter(key, tier, self._facts.wall_ms)
+                for tier in tiers
+            ]
+        return tiers
+
+    def _usable(self, waiting: WaitingUnits, unit: Unit) -> list[UpstreamCapacity]:
+        """Return the upstreams that may run a unit, whatever ran there."""
+        step = waiting.step
         found = []
         for candidate in self._facts.capacity_by_id.values():
             report = candidate.upstream.report
@@ -268,19 +306,6 @@
             if candidate.watched and not unit.starts_apart():
                 continue
             found.append(candidate)
-        avoided = set(unit.avoid)
-        if avoided:
-            others = [
-                candidate
-                for candidate in found
-                if candidate.upstream.report.upstream_id not in avoided
-            ]
-            if fits_when_empty(step, tasks, others):
-                found = others
-        if unit.crashes:
-            found = away_from_crashes(unit, step, tasks, found)
-        if unit.starts_apart():
-            found = self._separation.filter(key, found, self._facts.wall_ms)
         return found
 
     def _make_room(
