Return to an upstream that has crashed under a unit after a delay

Cause: the address of a crash was left out if the unit would fit on the others when empty, also if these are full of work without an end.

Change: upstreams with a crash under the unit belong to those that are tried after the delay for failed runs. Keeping away from other suspects is separate.

Why it works: the wait for other upstreams is bounded in the same place for both reasons.

--- a/packages/jobs/src/persimmonyard/jobs/crash_isolation.py
+++ b/packages/jobs/src/persimmonyard/jobs/crash_isolation.py
@@ -11,6 +11,7 @@
     "SEPARATION_MS",
     "Separation",
     "away_from_crashes",
+    "away_from_suspects",
     "isolate_seats",
     "limit_watched",
     "rank_for_suspect",
@@ -52,7 +53,6 @@
 
     Returns all of them if the tasks of the unit would not fit on the others
     even if these were empty.
-    A unit that may be to blame also keeps away from others of its kind.
     """
     addresses = {crash.address for crash in unit.crashes}
     elsewhere = [
@@ -60,10 +60,13 @@
         for candidate in candidates
         if candidate.upstream.report.address not in addresses
     ]
-    if not fits_when_empty(step, tasks, elsewhere):
-        elsewhere = candidates
-    unwatched = [candidate for candidate in elsewhere if not candidate.watched]
-    return unwatched or elsewhere
+    return elsewhere if fits_when_empty(step, tasks, elsewhere) else candidates
+
+
+def away_from_suspects(candidates: list[UpstreamCapacity]) -> list[UpstreamCapacity]:
+    """Return the candidates that no other unit may crash, or else all."""
+    unwatched = [candidate for candidate in candidates if not candidate.watched]
+    return unwatched or candidates
 
 
 class Separation:
--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -20,6 +20,7 @@
 from persimmonyard.jobs.crash_isolation import (
     Separation,
     away_from_crashes,
+    away_from_suspects,
     isolate_seats,
 )
 from persimmonyard.jobs.limit_relief import choose_own_victims
@@ -256,9 +257,9 @@
     ) -> list[list[UpstreamCapacity]]:
         """Return the upstreams on which a unit may run, also full ones.
 
-        The first list has those where no run of it has failed, if it would
-        fit on them when they are empty.  The second one follows once the unit
-        has waited for these long enough, and has the others as well.
+        The first list has those where no run of it has failed or crashed, if
+        it would fit on them when they are empty.  The second one follows once
+        the unit has waited for these long enough, and has the others as well.
         """
         step = waiting.step
         tasks = step.count if step.gang else 1
@@ -273,13 +274,15 @@
             ]
             if fits_when_empty(step, tasks, others):
                 preferred = others
+        if unit.crashes:
+            preferred = away_from_crashes(unit, step, tasks, preferred)
         tiers = [preferred]
         if len(preferred) < len(usable) and self._retry_delays.is_over(
             key, unit, step, self._facts.wall_ms
         ):
             tiers.append(usable)
         if unit.crashes:
-            tiers = [away_from_crashes(unit, step, tasks, tier) for tier in tiers]
+            tiers = [away_from_suspects(tier) for tier in tiers]
         if unit.starts_apart():
             tiers = [
                 self._separation.filter(key, tier, self._facts.wall_ms)
--- a/test/jobs/test_retry_delay.py
+++ b/test/jobs/test_retry_delay.py
@@ -1,12 +1,14 @@
 """Tests of units that go back to an upstream where a run failed or crashed."""
 
+import random
 import unittest
 
-from persimmonyard.jobs import TaskEnd
-from test.jobs.fixtures import Cluster, step
+from persimmonyard.jobs import NoteUpstreams, TaskEnd
+from test.jobs.fixtures import WALL_MS, Cluster, note_silence, report, step
 
 LASTING_ID = "00000000000000e1"
 UNIT_ID = "00000000000000e2"
+SEEDS = range(20)
 PLAN_INTERVAL_MS = 500
 
 
@@ -37,6 +39,15 @@
         for key, unit in self.record().units.items():
             self.cluster.end_run(key, unit, end)
 
+    def crash(self, name, after_ms):
+        """Crash an upstream, which starts again under its identifier."""
+        incarnation = self.cluster.fleet.by_id[name].report.incarnation + 1
+        note_silence(self.cluster.store, name, WALL_MS + after_ms)
+        restarted = report(name, incarnation=incarnation)
+        self.cluster.store.execute(NoteUpstreams((restarted,), WALL_MS + after_ms))
+        self.cluster.add(name, incarnation=incarnation)
+        self.end_unit(TaskEnd.LOST)
+
 
 class FailedRunTests(unittest.TestCase):
     def test_unit_returns_to_the_only_upstream_with_room(self):
@@ -68,7 +79,7 @@
             self.assertIsNotNone(started_ms)
 
     def test_unit_goes_elsewhere_as_long_as_there_is_room(self):
-        """Guards against a second attempt on an upstream that fails its work."""
+        """Guards against a second attempt on an upstream that fails work."""
         fleet = RetryFleet(3, step(gpu=4))
         fleet.next_start_ms(0, 1)
         fleet.end_unit(TaskEnd.FAILED)
@@ -90,12 +101,61 @@
             started_ms = again_ms
 
     def test_gang_returns_if_it_fits_elsewhere_only_in_part(self):
-        """Guards against a gang that waits for ever after one failed member."""
+        """Guards against a gang that waits for ever after a failed member."""
         fleet = RetryFleet(8, step(2, gpu=4, gang=True))
         fleet.next_start_ms(0, 1)
         fleet.end_unit(TaskEnd.FAILED)
         self.assertIsNotNone(fleet.next_start_ms(200, 4_000))
 
 
+class CrashTests(unittest.TestCase):
+    def test_unit_returns_to_the_only_upstream_with_room(self):
+        """Guards against a job that waits for ever after one crash.
+
+        The upstream is back under its identifier, sound and idle.
+        """
+        fleet = RetryFleet(7, step(gpu=4))
+        fleet.next_start_ms(0, 1)
+        fleet.crash("large", 3_000)
+        started_ms = fleet.next_start_ms(3_000, 60_000)
+        self.assertIsNotNone(started_ms)
+        self.assertLess(started_ms, 6_000)
+
+    def test_crashed_gang_returns_if_it_fits_elsewhere_only_in_part(self):
+        """Guards against the same with a gang."""
+        fleet = RetryFleet(8, step(2, gpu=4, gang=True))
+        fleet.next_start_ms(0, 1)
+        fleet.crash("large", 3_000)
+        self.assertIsNotNone(fleet.next_start_ms(3_000, 7_000))
+
+
+class RandomTroubleTests(unittest.TestCase):
+    def test_unit_with_room_starts_after_any_trouble(self):
+        """Guards against a unit that waits for ever after a failure or crash.
+
+        Sizes, gangs, and which upstreams fail or crash are drawn; the fleet is
+        full of work without an end, except where the unit ran.
+        """
+        for seed in SEEDS:
+            rng = random.Random(seed)
+            members = rng.randrange(1, 3)
+            unit = step(
+                members,
+                gpu=8 // members,
+                gang=members > 1,
+                long_running=rng.random() < 0.5,
+            )
+            fleet = RetryFleet(rng.randrange(2, 20), unit)
+            started_ms = fleet.next_start_ms(0, 1)
+            for _ in range(2):
+                ended_ms = started_ms + rng.randrange(200, 9_000)
+                if rng.random() < 0.5:
+                    fleet.crash("large", ended_ms)
+                else:
+                    fleet.end_unit(TaskEnd.FAILED)
+                started_ms = fleet.next_start_ms(ended_ms, ended_ms + 12_000)
+                self.assertIsNotNone(started_ms, seed)
+
+
 if __name__ == "__main__":
     unittest.main()
