Try the rest of a long queue on the capacity that is left

Cause: a plan ends after 60 shapes that do not fit, and the next one begins with the same units. A plan that ends for its time does so as well.

Change: the limit ends the head of the queue. The rest is tried without making room, from where the last plan ended, and steps that need more than is free on any upstream of their service and label are passed over. A plan that ran out of time without a placement is followed by one that goes on behind it.

Why it works: the bound on the run time of a plan stays, and each step is reached within a number of plans that grows with the shapes before it only.

--- a/packages/jobs/src/persimmonyard/jobs/capacity.py
+++ b/packages/jobs/src/persimmonyard/jobs/capacity.py
@@ -1,5 +1,6 @@
 """Free capacity of upstreams while a plan is made."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from persimmonyard.jobs.fleet import Upstream
@@ -14,6 +15,7 @@
     "free_accelerators",
     "half_free",
     "least_busy_fit",
+    "most_free",
     "mostly_free",
 ]
 
@@ -76,6 +78,23 @@
     )
 
 
+def most_free(
+    candidates: Iterable[UpstreamCapacity], service: str, label: str
+) -> Resources:
+    """Return the most that is free of each resource on one upstream.
+
+    Only upstreams of the service count, and with ``label`` only those that
+    have this label.
+    """
+    most = Resources(-1, -1, -1)
+    for candidate in candidates:
+        report = candidate.upstream.report
+        if report.service != service or (label and label not in report.labels):
+            continue
+        most = Resources(*map(max, most, candidate.free))
+    return most
+
+
 def least_busy_fit(
     step: Step, tasks: int, group: list[UpstreamCapacity]
 ) -> tuple[int, list[UpstreamCapacity]] | None:
--- a/packages/jobs/src/persimmonyard/jobs/planner.py
+++ b/packages/jobs/src/persimmonyard/jobs/planner.py
@@ -72,6 +72,10 @@
         self._queue = WaitingQueue(store, estimator)
         self._separation = Separation()
         self._retry_delays = RetryDelays()
+        # Where the next plan goes on in a long queue, and whether it leaves
+        # out the head because the last one had no time for more.
+        self._rest_at = 0
+        self._rest_only = False
 
     @property
     def next_due_ms(self) -> int | None:
@@ -132,7 +136,11 @@
             self._retry_delays,
             recorder,
         )
-        plan = planning_round.run(ready)
+        plan = planning_round.run(ready, self._rest_at, self._rest_only)
+        self._rest_at = plan.rest_at
+        self._rest_only = (
+            plan.out_of_time and not plan.placements and not self._rest_only
+        )
         plan.seats_kept_apart = interference.kept_apart
         plan.seats_shared = interference.shared
         return plan
--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -3,6 +3,11 @@
 For each unit the decisions follow in this order: the limit of its account, its
 candidates, seats on upstreams that are fast enough, room to make there, seats
 on any upstream, room to make there, and a reservation.
+
+Load pattern: more jobs wait than one round can look at, and those at the head
+of the queue fit nowhere, for example because a zone is out of service.  So
+the rest of the queue is tried on the capacity that is left, over as many
+rounds as it takes.
 """
 
 from collections.abc import Callable, Iterable
@@ -13,7 +18,9 @@
 from persimmonyard.jobs.account_usage import PlannedUsage
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
+    charged_resources,
     fits_when_empty,
+    most_free,
     mostly_free,
 )
 from persimmonyard.jobs.commands import Placement, Seat
@@ -31,6 +38,7 @@
 from persimmonyard.jobs.retry_delay import RetryDelays
 from persimmonyard.jobs.seating import SeatAssigner, candidate_groups
 from persimmonyard.jobs.waiting_queue import WaitingUnits
+from persimmonyard.model import Resources
 
 __all__ = ["Plan", "PlanningFacts", "PlanningRound", "Preemption"]
 
@@ -39,8 +47,9 @@
 _MAX_RESERVING_UNITS = 2
 # How long a unit waits before capacity is reserved for it, in seconds.
 _RESERVE_AFTER_S = 0.7
-# A plan ends once more than this many different shapes did not fit, which
-# bounds its run time.
+# The head of the queue ends once more than this many different shapes did not
+# fit, and the rest of it in one plan once as many more did not, which bounds
+# the run time of a plan.
 _MAX_UNPLACEABLE_SHAPES = 60
 # A plan ends once it has placed this many tasks: their starts are sent
 # together and must not delay the leader's heartbeats.
@@ -64,6 +73,10 @@
     # Whether the plan ended at its limit of tasks or time, so that another
     # plan may place more units immediately.
     truncated: bool = False
+    # Whether the plan ended at its limit of time.
+    out_of_time: bool = False
+    # Position in the queue at which the rest was not looked at, or 0.
+    rest_at: int = 0
     # Seats where the task and its neighbours are not slowed down although a
     # better filled upstream had room, and seats where one of them is.
     seats_kept_apart: int = 0
@@ -129,33 +142,96 @@
         self._plan = Plan()
         self._tasks_left = _MAX_TASKS_PER_PLAN
         self._unplaceable_shapes: set[tuple] = set()
+        self._most_free_by_pool: dict[tuple[str, str], Resources] = {}
+        self._may_preempt = facts.may_preempt
         # Where most of the fleet is free, a unit that does not fit waits for
         # particular upstreams, and the others need not wait with it.
         self._reservations_left = _MAX_RESERVING_UNITS
         if mostly_free(facts.capacity_by_id):
             self._reservations_left = 0
 
-    def run(self, ready: Iterable[WaitingUnits]) -> Plan:
-        """Decide on the units, and return the plan."""
-        for waiting in ready:
-            if not self._plan_step(waiting):
-                self._plan.truncated = bool(self._plan.placements)
-                break
-            if self._tasks_left <= 0:
-                self._plan.truncated = True
-                break
-            if len(self._unplaceable_shapes) > _MAX_UNPLACEABLE_SHAPES:
-                break
+    def run(
+        self, ready: list[WaitingUnits], rest_at: int = 0, rest_only: bool = False
+    ) -> Plan:
+        """Decide on the units, and return the plan.
+
+        The head of the queue comes first.  If that is long, a part of the rest
+        follows from position ``rest_at`` on, where the last plan ended.  With
+        ``rest_only`` the head is left out.
+        """
+        head_end = 0 if rest_only else self._plan_head(ready)
+        start = rest_at if head_end < rest_at < len(ready) else head_end
+        if self._plan.out_of_time:
+            self._plan.rest_at = start
+        elif self._tasks_left > 0:
+            self._plan_rest(ready, start)
+        if self._plan.out_of_time:
+            self._plan.truncated = bool(self._plan.placements)
+        elif self._tasks_left <= 0:
+            self._plan.truncated = True
         return self._plan
 
-    def _plan_step(self, waiting: WaitingUnits) -> bool:
-        """Decide on the units of a step; return false if the time is over."""
+    def _is_full(self) -> bool:
+        """Return whether the plan has reached its limit of time or tasks."""
+        return self._plan.out_of_time or self._tasks_left <= 0
+
+    def _plan_head(self, ready: list[WaitingUnits]) -> int:
+        """Decide on the first steps; return the position of the next one."""
+        for position, waiting in enumerate(ready):
+            self._plan_step(waiting)
+            if self._plan.out_of_time and position > 0:
+                return position
+            if self._tasks_left <= 0 or self._plan.out_of_time:
+                return position + 1
+            if len(self._unplaceable_shapes) > _MAX_UNPLACEABLE_SHAPES:
+                return position + 1
+        return len(ready)
+
+    def _plan_rest(self, ready: list[WaitingUnits], start: int) -> None:
+        """Place further steps on the capacity that is left.
+
+        No room is made and no capacity reserved for them.
+        """
+        self._may_preempt = False
+        self._reservations_left = 0
+        most_shapes = len(self._unplaceable_shapes) + _MAX_UNPLACEABLE_SHAPES
+        for position in range(start, len(ready)):
+            waiting = ready[position]
+            if self._recorder is None and not self._may_fit(waiting):
+                self._plan.out_of_time = self._facts.is_over()
+            else:
+                self._plan_step(waiting)
+            if self._plan.out_of_time and position > start:
+                # The step was tried in part at most.
+                self._plan.rest_at = position
+                return
+            if self._is_full() or len(self._unplaceable_shapes) > most_shapes:
+                self._plan.rest_at = position + 1
+                return
+
+    def _may_fit(self, waiting: WaitingUnits) -> bool:
+        """Return whether a step needs no more than is free anywhere.
+
+        It compares each resource with the most that is free on one upstream.
+        The first result for a service and label holds for the whole round,
+        because the free capacity only shrinks.
+        """
+        pool = (waiting.route.service, waiting.step.label)
+        most = self._most_free_by_pool.get(pool)
+        if most is None:
+            most = most_free(self._facts.capacity_by_id.values(), *pool)
+            self._most_free_by_pool[pool] = most
+        return charged_resources(waiting.step).fits(most)
+
+    def _plan_step(self, waiting: WaitingUnits) -> None:
+        """Decide on the units of a step until the time is over."""
         account = waiting.record.job.account
         shape = _shape(waiting)
         step_is_full = False
         for key, unit in waiting.units:
             if self._facts.is_over():
-                return False
+                self._plan.out_of_time = True
+                return
             quota = self._planned_usage.decide(account, waiting.step)
             if isinstance(quota, OverLimit):
                 if self._recorder is not None:
@@ -185,7 +261,6 @@
                     if shape_is_decisive:
                         self._unplaceable_shapes.add(shape)
                     self._reserve(waiting, candidates)
-        return True
 
     def _decide_unit(
         self, waiting: WaitingUnits, key: UnitKey, unit: Unit
@@ -212,7 +287,7 @@
         Room on upstreams is made at the same time, because the guarantee has
         to be given back within seconds.
         """
-        if not self._facts.may_preempt:
+        if not self._may_preempt:
             return
         account = waiting.record.job.account
         excess = self._planned_usage.excess(account, waiting.step)
@@ -318,7 +393,7 @@
 
         Returns whether the unit will fit once these runs have ended.
         """
-        if not self._facts.may_preempt:
+        if not self._may_preempt:
             return False
         count_by_id = self._seating.task_counts(key, waiting.step)
         best = Reservation(cost=float("inf"))
