Count no room as being freed by a run that hangs or has no end

What callers would see: a job that waits beside slower upstreams with room.

Cause: the remaining time of a run is extrapolated from its progress and cut off at 0, so that an overdue run ends soon without a limit of time, and a task without an end that lists progress does as well.

Change: the remaining time is unknown 3 s after the expected end, and for tasks without an end.

Why it works: room counts as being freed for a bounded time only.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
@@ -18,6 +18,9 @@
 # checkpoints is cheaper than restarting it.
 _MAX_RESTART_PERCENT = 50
 _DONE_PERCENT = 100
+# How long after its expected end a run still counts as about to end, in
+# seconds: upstreams may wait for 2 s before they list its progress.
+_MAX_OVERDUE_S = 3.0
 # Observed progress from which the rest of a run can be estimated, in percent.
 _MIN_ESTIMATE_PERCENT = 10
 
@@ -131,16 +134,20 @@
     def remaining_s(self, now: float) -> float | None:
         """Return the expected time to the end of the run, or None if unknown.
 
-        It is extrapolated from the progress since the first listing.
+        It is extrapolated from the progress since the first listing.  A run
+        that is long overdue may hang.
         """
+        if self.step.long_running:
+            return None
         done = self.percent - self.first_percent
         if self.first_progress_at is None or done < _MIN_ESTIMATE_PERCENT:
             return None
         s_per_percent = (self.progressed_at - self.first_progress_at) / done
-        return max(
-            0.0,
-            self.progressed_at + s_per_percent * (_DONE_PERCENT - self.percent) - now,
-        )
+        left_s = s_per_percent * (_DONE_PERCENT - self.percent)
+        remaining_s = self.progressed_at + left_s - now
+        if remaining_s < -_MAX_OVERDUE_S:
+            return None
+        return max(0.0, remaining_s)
 
     def unsaved_s(self, now: float) -> float:
         """Return how much work a stop would lose, in seconds."""
