Count a job as queued again while all its starts were refused

Cause: a job counts as begun with its first placement, also once the start is refused.

Evidence: the first test of test_refused_starts failed before the change.

Change: a job counts its placed runs and those of which no task was started.

Why it works: both counts follow from the commands in the log, so that all replicas and restored ones agree.

Measured: test.jobs passed.

--- a/packages/jobs/src/persimmonyard/jobs/records.py
+++ b/packages/jobs/src/persimmonyard/jobs/records.py
@@ -78,9 +78,10 @@
     """A job and the state of its units.
 
     ``route`` is the route at acceptance, and ``begun`` is true once a unit
-    was placed.  ``open_by_step`` is the number of units that are not done, by
-    "occurrence.step".  ``ended_ms`` is when the job completed, failed or was
-    cancelled, or 0 before.  ``failure`` tells callers why it failed.
+    was placed, unless none was carried out: ``rejected_runs`` is then the
+    same as ``placed_runs``.  ``open_by_step`` is the number of units that are
+    not done, by "occurrence.step".  ``ended_ms`` is when the job completed,
+    failed or was cancelled, or 0 before.  ``failure`` tells callers why it failed.
     ``beyond_rate`` is true if it was sent beyond the rate of its account.
     """
 
@@ -94,6 +95,8 @@
     ended_ms: int = 0
     failure: str = ""
     beyond_rate: bool = False
+    placed_runs: int = 0
+    rejected_runs: int = 0
 
     def state(self) -> JobState:
         """Return the state that callers see."""
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -387,6 +387,7 @@
             return
         del self._waiting[key]
         record.begun = True
+        record.placed_runs += 1
         unit.status = UnitStatus.PLACED
         unit.run = placement.run
         unit.placed_ms = at_ms
@@ -467,6 +468,10 @@
                     unit.avoid = [*unit.avoid[-7:], seat_record.seat.upstream_id]
         unit.seats = []
         unit.status = UnitStatus.WAITING
+        if all(end == TaskEnd.REJECTED for end in ends):
+            record.rejected_runs += 1
+            if record.rejected_runs == record.placed_runs:
+                record.begun = False
         self._crash_accounting.clear_after_run(unit, ends, worked_until_ms)
         # The end that completed a gang may be that of a seat counted as lost.
         done = unit.completed or TaskEnd.DONE in ends
