Place a large step over several plans

Cause: the limit of tasks in one plan counted between steps only. The leader lost its lease before it had sent the starts of one step.

Change: the limit counts within a step, too.

Why it works: no plan hands more than 128 single starts to the leader at once.

The doc comment of JobRecord was wrapped along the way.

--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -232,6 +232,8 @@
             if self._facts.is_over():
                 self._plan.out_of_time = True
                 return
+            if self._tasks_left <= 0:
+                return
             quota = self._planned_usage.decide(account, waiting.step)
             if isinstance(quota, OverLimit):
                 if self._recorder is not None:
--- a/packages/jobs/src/persimmonyard/jobs/records.py
+++ b/packages/jobs/src/persimmonyard/jobs/records.py
@@ -81,8 +81,9 @@
     was placed, unless none was carried out: ``rejected_runs`` is then the
     same as ``placed_runs``.  ``open_by_step`` is the number of units that are
     not done, by "occurrence.step".  ``ended_ms`` is when the job completed,
-    failed or was cancelled, or 0 before.  ``failure`` tells callers why it failed.
-    ``beyond_rate`` is true if it was sent beyond the rate of its account.
+    failed or was cancelled, or 0 before.  ``failure`` tells callers why it
+    failed.  ``beyond_rate`` is true if it was sent beyond the rate of its
+    account.
     """
 
     job: Job
--- a/test/jobs/test_planner.py
+++ b/test/jobs/test_planner.py
@@ -90,6 +90,23 @@
         rest = len(cluster.place().placements) + len(cluster.place().placements)
         self.assertEqual(280, len(first.placements) + rest)
 
+    def test_one_plan_places_a_part_of_a_large_step(self):
+        """Guards against a leader that loses its lease over one large step.
+
+        The starts of a plan are sent together.
+        """
+        cluster = Cluster()
+        for number in range(200):
+            cluster.add(f"u{number}")
+        cluster.submit(step(1_500))
+        placed = 0
+        for number in range(12):
+            plan = cluster.place()
+            placed += len(plan.placements)
+            self.assertLessEqual(len(plan.placements), 128)
+            self.assertEqual(number < 11, plan.truncated)
+        self.assertEqual(1_500, placed)
+
     def test_shrunk_upstream_gets_work_only_once_it_has_room(self):
         """Guards against starts in capacity that is gone under running tasks.
 
