Reject no submission of which an earlier attempt is in doubt

Cause: after an attempt without an answer, only the answer `refused` of the next one counted as in doubt.

Evidence: test_rejection_after_a_submission_in_doubt_stays_in_doubt failed before the change.

Change: for a submission, any answer that denies its execution becomes unknown.

Why it works: the caller gets no rejection while the first attempt may have been executed.

Measured: test_leader_client passed.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -25,6 +25,7 @@
     OperatorOrder,
     Outcome,
     Probe,
+    Verb,
     decode_reply,
     encode,
     encoding_problem,
@@ -188,8 +189,8 @@
             else:
                 # Another leader was found just now.
                 attempt.reply.cancel()
-            if in_doubt and reply.outcome == Outcome.REFUSED:
-                break  # An earlier attempt may still be executed.
+            if in_doubt and _denies_execution(call, reply):
+                break  # An earlier attempt may have been executed.
             return reply
         if attempt is not None:
             attempt.reply.cancel()
@@ -426,6 +427,13 @@
         task.add_done_callback(self._closing_tasks.discard)
 
 
+def _denies_execution(call: Call, reply: CallReply) -> bool:
+    """Return whether a reply tells the caller that nothing was executed."""
+    if isinstance(call, JobCall) and call.verb == Verb.SUBMIT:
+        return reply.outcome not in (Outcome.OK, Outcome.UNKNOWN)
+    return reply.outcome == Outcome.REFUSED
+
+
 def _jittered_s(delay_s: float) -> float:
     """Return a random delay, so that entries do not probe in step."""
     return delay_s * random.uniform(0.5, 1.5)
--- a/test/daemon/jobs/test_leader_client.py
+++ b/test/daemon/jobs/test_leader_client.py
@@ -182,6 +182,38 @@
         reply = await client.call(SUBMIT_CALL, CONNECT_DEADLINE_S)
         self.assertEqual(Outcome.REFUSED, reply.outcome)
 
+    async def test_rejection_after_a_submission_in_doubt_stays_in_doubt(self):
+        """Guards against a rejected job that runs.
+
+        Its key or route is withdrawn between the two attempts, or its account
+        has too many jobs with this one.
+        """
+        outcomes = []
+
+        async def lead(call, context):
+            if isinstance(call, Probe):
+                return CallReply(Outcome.OK)
+            return CallReply(outcomes.pop())
+
+        client = self.client(await self.serve(lead))
+        for outcome in (
+            Outcome.UNAUTHENTICATED,
+            Outcome.NO_ROUTE,
+            Outcome.TOO_MANY,
+            Outcome.INVALID,
+            Outcome.NO_CONFIGURATION,
+        ):
+            outcomes[:] = [outcome, Outcome.UNKNOWN]
+            reply = await client.call(SUBMIT_CALL, CONNECT_DEADLINE_S)
+            self.assertEqual(([], Outcome.UNKNOWN), (outcomes, reply.outcome))
+            outcomes[:] = [outcome]
+            reply = await client.call(SUBMIT_CALL, CONNECT_DEADLINE_S)
+            self.assertEqual(outcome, reply.outcome)
+        read_call = msgspec.structs.replace(SUBMIT_CALL, verb=Verb.READ)
+        outcomes[:] = [Outcome.NO_JOB, Outcome.UNKNOWN]
+        reply = await client.call(read_call, CONNECT_DEADLINE_S)
+        self.assertEqual(Outcome.NO_JOB, reply.outcome)
+
     async def test_silent_instance_leaves_time_for_the_leader(self):
         """Guards against a call that waits for an unreachable instance.
 
