Measure a stall by the time that a task needs for a percent

Cause: a run counted as stalled after 1.5 s without another percent.

Evidence: the test of a task of five minutes in test_task_run failed before.

Change: the limit is at least the time for three percent, as observed or estimated.

Why it works: a sound run shows a percent within that time.

Measured: test_task_run passed; tasks of up to 50 s have the limit of before.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
@@ -8,9 +8,11 @@
 
 __all__ = ["ProgressMark", "RunState", "TaskRun"]
 
-# A run without progress for this long counts as stalled, in seconds: a healthy
-# task of up to a minute advances by a percent in less time.
+# A run without progress for this long counts as stalled, in seconds, unless it
+# needs longer for a few percent: a healthy task of up to a minute advances by
+# a percent in less time.
 _STALL_TIMEOUT_S = 1.5
+_MAX_MISSED_PERCENTS = 3
 # The same for members of a gang: they make no progress until the last one has
 # started, and wait up to 4 s for it.
 _GANG_STALL_TIMEOUT_S = 4.5
@@ -117,10 +119,22 @@
         if self.percent >= _DONE_PERCENT or self.step.long_running:
             return False
         limit_s = _GANG_STALL_TIMEOUT_S if self.step.gang else _STALL_TIMEOUT_S
+        limit_s = max(limit_s, _MAX_MISSED_PERCENTS * self._s_per_percent())
         if now - self.progressed_at < limit_s:
             return False
         return self.step.checkpoints or self.percent < _MAX_RESTART_PERCENT
 
+    def _s_per_percent(self) -> float:
+        """Return in how many seconds the run advances by a percent.
+
+        It is the observed time if there is one, and else that of the estimate,
+        which is 0 if the caller gave none.
+        """
+        done = self.percent - self.first_percent
+        if self.first_progress_at is None or done <= 0:
+            return self.step.estimate_ms / (_DONE_PERCENT * 1_000)
+        return (self.progressed_at - self.first_progress_at) / done
+
     def run_progress(self, now: float) -> RunProgress:
         """Return the progress of the run for the planner."""
         started_at = now if self.started_at is None else self.started_at
@@ -142,8 +156,7 @@
         done = self.percent - self.first_percent
         if self.first_progress_at is None or done < _MIN_ESTIMATE_PERCENT:
             return None
-        s_per_percent = (self.progressed_at - self.first_progress_at) / done
-        left_s = s_per_percent * (_DONE_PERCENT - self.percent)
+        left_s = self._s_per_percent() * (_DONE_PERCENT - self.percent)
         remaining_s = self.progressed_at + left_s - now
         if remaining_s < -_MAX_OVERDUE_S:
             return None
--- a/test/daemon/jobs/test_task_run.py
+++ b/test/daemon/jobs/test_task_run.py
@@ -41,5 +41,35 @@
         self.assertFalse(run.run_progress(9.1).ends_soon())
 
 
+class StallTests(unittest.TestCase):
+    def test_run_that_takes_minutes_is_not_stalled_between_two_percents(self):
+        """Guards against a long task that is stopped again and again.
+
+        A task of five minutes advances by a percent every three seconds.
+        """
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        shape = step(estimate_ms=300_000)
+        run = TaskRun(key.task_key(0), 1, key, shape, RunState.RUNNING, 0.0)
+        for percent in range(40):
+            self.assertFalse(run.is_stalled(3.0 * percent + 2.9), percent)
+            run.update_progress(percent, "", 3.0 * percent)
+        self.assertTrue(run.is_stalled(3.0 * 39 + 9.1))
+
+    def test_progress_counts_more_than_the_estimate(self):
+        """Guards against a hanging run that a high estimate hides."""
+        run = run_at_half(estimate_ms=3_600_000)
+        run.percent = 40
+        self.assertFalse(run.is_stalled(6.4))
+        self.assertTrue(run.is_stalled(6.6))
+
+    def test_short_run_without_progress_is_stalled_as_before(self):
+        """Guards against a task that waits for an upstream that hangs."""
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        run = TaskRun(key.task_key(0), 1, key, step(), RunState.RUNNING, 0.0)
+        run.update_progress(0, "", 0.0)
+        self.assertFalse(run.is_stalled(1.4))
+        self.assertTrue(run.is_stalled(1.6))
+
+
 if __name__ == "__main__":
     unittest.main()
