Go on at the step in which a plan reached its limit of tasks

A plan of the rest of the queue that ended within a step was followed by one behind that step. A long-running task's preview called a reserved upstream not used, although such tasks use it.

--- a/packages/jobs/src/persimmonyard/jobs/plan_recorder.py
+++ b/packages/jobs/src/persimmonyard/jobs/plan_recorder.py
@@ -129,7 +129,8 @@
             return Rejection.OTHER_SERVICE
         if step.label and step.label not in report.labels:
             return Rejection.NO_LABEL
-        if report.upstream_id not in usable or candidate.reserved or candidate.isolated:
+        kept = candidate.isolated or (candidate.reserved and not step.long_running)
+        if kept or report.upstream_id not in usable:
             return Rejection.NOT_USED
         if self._left_in_step(waiting, key, report.upstream_id) == 0:
             return Rejection.STEP_LIMIT
--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -171,10 +171,6 @@
             self._plan.truncated = True
         return self._plan
 
-    def _is_full(self) -> bool:
-        """Return whether the plan has reached its limit of time or tasks."""
-        return self._plan.out_of_time or self._tasks_left <= 0
-
     def _plan_head(self, ready: list[WaitingUnits]) -> int:
         """Decide on the first steps; return the position of the next one."""
         for position, waiting in enumerate(ready):
@@ -201,11 +197,11 @@
                 self._plan.out_of_time = self._facts.is_over()
             else:
                 self._plan_step(waiting)
-            if self._plan.out_of_time and position > start:
-                # The step was tried in part at most.
+            if self._tasks_left <= 0 or (self._plan.out_of_time and position > start):
+                # Units of the step may be left.
                 self._plan.rest_at = position
                 return
-            if self._is_full() or len(self._unplaceable_shapes) > most_shapes:
+            if self._plan.out_of_time or len(self._unplaceable_shapes) > most_shapes:
                 self._plan.rest_at = position + 1
                 return
 
