Wait longer for upstreams whose runs end before returning to a failure

What callers would see: in a full fleet an upstream that fails what it starts is the one with room, so that a unit that returns there after 2.5 s spends its attempts.

The test of this failed before.

Change: if a unit will fit on other upstreams once the runs there have ended, it waits 15 s for them; otherwise 2.5 to 5 s as before. Long-running tasks always wait 2.5 s.

--- a/packages/jobs/src/persimmonyard/jobs/capacity.py
+++ b/packages/jobs/src/persimmonyard/jobs/capacity.py
@@ -11,6 +11,7 @@
     "UpstreamCapacity",
     "charged_resources",
     "fit_count",
+    "fits_once_runs_end",
     "fits_when_empty",
     "free_accelerators",
     "half_free",
@@ -132,10 +133,24 @@
 
     It depends on the capacities and the limit per upstream, not on what runs.
     """
+    capacities = (candidate.upstream.report.capacity for candidate in group)
+    return _fits_together(step, tasks, capacities)
+
+
+def fits_once_runs_end(step: Step, tasks: int, group: list[UpstreamCapacity]) -> bool:
+    """Return whether a group fits tasks together once its runs have ended.
+
+    Runs without an end keep their capacity.
+    """
+    capacities = (candidate.obtainable for candidate in group)
+    return _fits_together(step, tasks, capacities)
+
+
+def _fits_together(step: Step, tasks: int, capacities: Iterable[Resources]) -> bool:
     needs = charged_resources(step)
     fitting = 0
-    for candidate in group:
-        count = fit_count(needs, candidate.upstream.report.capacity)
+    for capacity in capacities:
+        count = max(0, fit_count(needs, capacity))
         if step.per_upstream:
             count = min(count, step.per_upstream)
         fitting += count
--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -19,6 +19,7 @@
 from persimmonyard.jobs.capacity import (
     UpstreamCapacity,
     charged_resources,
+    fits_once_runs_end,
     fits_when_empty,
     most_free,
     mostly_free,
@@ -350,10 +351,12 @@
         if unit.crashes:
             preferred = away_from_crashes(unit, step, tasks, preferred)
         tiers = [preferred]
-        if len(preferred) < len(usable) and self._retry_delays.is_over(
-            key, unit, step, self._facts.wall_ms
-        ):
-            tiers.append(usable)
+        if len(preferred) < len(usable):
+            others_free_up = fits_once_runs_end(step, tasks, preferred)
+            if self._retry_delays.is_over(
+                key, unit, step, others_free_up, self._facts.wall_ms
+            ):
+                tiers.append(usable)
         if unit.crashes:
             tiers = [away_from_suspects(tier) for tier in tiers]
         if unit.starts_apart():
--- a/packages/jobs/src/persimmonyard/jobs/retry_delay.py
+++ b/packages/jobs/src/persimmonyard/jobs/retry_delay.py
@@ -18,6 +18,9 @@
 # platform expects work that has room to start within 3 s.
 _FIRST_DELAY_MS = 2_500
 _MAX_DELAY_MS = 5_000
+# The same if the unit will fit on others once runs there have ended, which may
+# take hours.
+_DELAY_UNTIL_RUNS_END_MS = 15_000
 
 
 class RetryDelays:
@@ -41,19 +44,26 @@
                 kept[(key, unit.run)] = since_ms
         self._since_ms = kept
 
-    def is_over(self, key: UnitKey, unit: Unit, step: Step, wall_ms: int) -> bool:
-        """Return whether a unit may return to where its runs ended badly."""
+    def is_over(
+        self, key: UnitKey, unit: Unit, step: Step, others_free_up: bool, wall_ms: int
+    ) -> bool:
+        """Return whether a unit may return to where its runs ended badly.
+
+        ``others_free_up`` is whether it will fit on other upstreams once the
+        runs there have ended.
+        """
         since_ms = self._since_ms.setdefault((key, unit.run), wall_ms)
-        return wall_ms - since_ms >= _delay_ms(unit, step)
+        return wall_ms - since_ms >= _delay_ms(unit, step, others_free_up)
 
 
-def _delay_ms(unit: Unit, step: Step) -> int:
+def _delay_ms(unit: Unit, step: Step, others_free_up: bool) -> int:
     """Return how long a unit waits for other upstreams.
 
-    The attempts of a long-running task have no limit, so that its delay does
-    not grow.
+    A long-running task has to be back soon, and its attempts have no limit.
     """
     if step.long_running:
         return _FIRST_DELAY_MS
+    if others_free_up:
+        return _DELAY_UNTIL_RUNS_END_MS
     delay_ms = _FIRST_DELAY_MS << min(max(unit.failures, 1) - 1, 8)
     return min(delay_ms, _MAX_DELAY_MS)
--- a/test/jobs/test_retry_delay.py
+++ b/test/jobs/test_retry_delay.py
@@ -87,6 +87,21 @@
         (placement,) = fleet.cluster.place(30_000).placements
         self.assertEqual("other", placement.seats[0].upstream_id)
 
+    def test_unit_waits_longer_for_upstreams_that_free_up(self):
+        """Guards against attempts spent where the work fails.
+
+        The others are full of work that ends.
+        """
+        fleet = RetryFleet(3, step(gpu=4))
+        fleet.next_start_ms(0, 1)
+        fleet.end_unit(TaskEnd.FAILED)
+        fleet.cluster.submit(step(2, gpu=4), job_id="b" * 16, route="urgent")
+        fleet.cluster.add("other", gpu=4)
+        fleet.cluster.place(200)
+        started_ms = fleet.next_start_ms(300, 60_000)
+        self.assertGreater(started_ms, 14_000)
+        self.assertLess(started_ms, 16_000)
+
     def test_long_running_task_never_waits_long(self):
         """Guards against a growing delay of a task that provides a service.
 
