Let no stall of the test end the session that is handed over

Cause: the limit of a session was lengthened only once the first beat had arrived. The read that was in progress then still had the limit of 2 s. A stall of the process of that length ended the session, and the backoff, which was already longer than the test, followed.

Change: the limit is lengthened before the session is opened. The backoff and the assertion are as before, so the test is as strict.

--- a/test/daemon/test_leader.py
+++ b/test/daemon/test_leader.py
@@ -384,14 +384,17 @@
         _, other = await serve(self, second)
         client = self.make_client({"control-1": address, "control-2": other})
         second.leads, second.hint = False, "control-1"
+        # A stall of this process must not end the first session.
+        timeout = unittest.mock.patch.object(
+            session_stream, "SESSION_TIMEOUT_S", DEADLINE_S
+        )
+        timeout.start()
+        self.addCleanup(timeout.stop)
         session_task = asyncio.create_task(client.run())
         self.addCleanup(session_task.cancel)
         await self.wait_until(lambda: first.beats)
         delay_s = (10 * DEADLINE_S, 10 * DEADLINE_S)
-        with (
-            unittest.mock.patch.object(session_stream, "RECONNECT_DELAY_S", delay_s),
-            unittest.mock.patch.object(session_stream, "SESSION_TIMEOUT_S", DEADLINE_S),
-        ):
+        with unittest.mock.patch.object(session_stream, "RECONNECT_DELAY_S", delay_s):
             second.leads = True
             first.next_leader = "control-2"
             client.request_beat()
