Log what reaches another incarnation and which ends are unknown

No line told which of its hypotheses holds: whether a poll was answered by another incarnation and which number it acknowledged, whether an end belonged to a run that is not supervised, whether a poll outlived its incarnation, and which lease was assumed when runs counted as lost.

Adds the lines `other incarnation answers`, `late result`, `unknown ends` and `run missing` with counters of the same names, and the incarnation and the lease that is left to `runs lost`. No decision changes.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_descriptions.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_descriptions.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterable
 
 from persimmonyard.daemon.jobs.task_run import TaskRun
+from persimmonyard.daemon.jobs.upstream_client import EndedRun
 from persimmonyard.jobs import RunSilence
 
-__all__ = ["describe_lost_runs", "describe_silences"]
+__all__ = ["describe_lost_runs", "describe_silences", "describe_unknown_ends"]
 
 # At most this many runs are named in one log line.
 _MAX_LOGGED_RUNS = 16
@@ -43,3 +44,15 @@
             f"{run_silence.silence.describe()}"
         )
     return described
+
+
+def describe_unknown_ends(ended: list[EndedRun]) -> list[str]:
+    """Return "job occurrence.step.task/run, number, how" of some ends."""
+    described = []
+    for end in ended[:_MAX_LOGGED_RUNS]:
+        task_key = end.task_key
+        described.append(
+            f"{task_key.job_id} {task_key.log_label()}/{end.run}, "
+            f"{end.number}, {end.end}"
+        )
+    return described
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -7,6 +7,7 @@
 from persimmonyard.daemon.jobs.run_descriptions import (
     describe_lost_runs,
     describe_silences,
+    describe_unknown_ends,
 )
 from persimmonyard.daemon.jobs.run_starter import RunStarter
 from persimmonyard.daemon.jobs.task_run import RunState, TaskRun
@@ -150,6 +151,8 @@
                     self.task_run_by_key.values(), self._term.now()
                 ),
                 reason=reason,
+                incarnation=self.upstream.report.incarnation,
+                lease_left_ms=self.upstream.lease_left_ms(self._term.now()),
             )
             await self._term.commit_ends(ends)
 
@@ -215,9 +218,12 @@
                 )
             )
         except NoAnswerError as error:
+            if upstream is not self.upstream:
+                self._log_late_result(upstream, "no answer", sent_at)
             await self._handle_no_answer(str(error))
             return
         if upstream is not self.upstream:
+            self._log_late_result(upstream, "answer", sent_at)
             return
         if isinstance(listing, OrderReply):
             await self._handle_refused_poll(listing)
@@ -225,6 +231,7 @@
         self._failed_polls = 0
         if listing.incarnation > upstream.report.incarnation:
             # The upstream restarted, and its first report has not arrived.
+            self._log_other_incarnation(listing, acknowledged_end, until_ms)
             self._failed_polls = 1
             return
         self._acknowledged_end = max(self._acknowledged_end, acknowledged_end)
@@ -356,12 +363,24 @@
         listed: set[tuple[TaskKey, int]],
     ) -> list[RunEnd]:
         ends = []
+        unknown = []
         for listed_run in ended:
             task_run = self.task_run_by_key.get((listed_run.task_key, listed_run.run))
             listed.add((listed_run.task_key, listed_run.run))
             if task_run is not None:
                 checkpoint = listed_run.checkpoint or task_run.checkpoint
                 ends.append(self.run_end(task_run, listed_run.end, checkpoint))
+            elif listed_run.number > self._last_end_number:
+                unknown.append(listed_run)
+        if unknown:
+            self._term.record_event("unknown_end")
+            self._term.log.warning(
+                "unknown ends",
+                upstream=self.upstream.report.upstream_id,
+                incarnation=self.upstream.report.incarnation,
+                ends=len(unknown),
+                tasks=describe_unknown_ends(unknown),
+            )
         return ends
 
     def _resolve_all_unlisted(
@@ -400,9 +419,51 @@
             end = TaskEnd.LOST if began else TaskEnd.REJECTED
             return self.run_end(task_run, end)
         if task_run.state == RunState.RUNNING:
+            self._log_missing_run(task_run)
             self.stop(task_run, "not listed by the upstream")
         return None
 
+    def _log_late_result(self, called: Upstream, result: str, sent_at: float) -> None:
+        """Log that a poll of an earlier incarnation has ended."""
+        self._term.record_event("late_result")
+        self._term.log.info(
+            "late result",
+            upstream=called.report.upstream_id,
+            incarnation=called.report.incarnation,
+            successor=self.upstream.report.incarnation,
+            result=result,
+            took_ms=int((self._term.now() - sent_at) * 1_000),
+        )
+
+    def _log_other_incarnation(
+        self, listing: RunListing, acknowledged_end: int, until_ms: int
+    ) -> None:
+        """Log what a call carried that another incarnation has answered."""
+        self._term.record_event("other_incarnation")
+        self._term.log.info(
+            "other incarnation answers",
+            upstream=self.upstream.report.upstream_id,
+            incarnation=self.upstream.report.incarnation,
+            answered=listing.incarnation,
+            acknowledged=acknowledged_end,
+            lease_end_ms=until_ms,
+            clock_ms=listing.clock_ms,
+        )
+
+    def _log_missing_run(self, task_run: TaskRun) -> None:
+        """Log that a complete listing lacks a run and its end."""
+        self._term.record_event("missing_run")
+        self._term.log.warning(
+            "run missing",
+            job=task_run.task_key.job_id,
+            task=task_run.task_key.log_label(),
+            run=task_run.run,
+            upstream=self.upstream.report.upstream_id,
+            incarnation=self.upstream.report.incarnation,
+            progress=task_run.percent,
+            acknowledged=self._acknowledged_end,
+        )
+
     def _stop_unknown(self, task_key: TaskKey, run: int) -> None:
         self._term.log.warning(
             "unknown run",
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -106,12 +106,16 @@
         """Keep new work off this upstream before ``until``."""
         self.avoid_until = max(self.avoid_until, until)
 
-    def leases_expired(self, now: float) -> bool:
-        """Return whether every lease that was granted has expired."""
+    def lease_left_ms(self, now: float) -> int:
+        """Return how long a lease may last, negative once all have expired."""
         return (
-            self.clock_floor_ms(now) > self.latest_lease_end_ms + _LEASE_END_MARGIN_MS
+            self.latest_lease_end_ms + _LEASE_END_MARGIN_MS - self.clock_floor_ms(now)
         )
 
+    def leases_expired(self, now: float) -> bool:
+        """Return whether every lease that was granted has expired."""
+        return self.lease_left_ms(now) < 0
+
 
 class Fleet:
     """The upstreams that this leader knows, by identifier.
