Give each incarnation of an upstream a session and a fence of its own

Cause: one session per identifier moved on from one incarnation to the next, and the calls of the former one went on inside it. A poll that was sent before the restart failed after it, and this counted as a failed poll of the new incarnation. The next poll there therefore carried no lease, a lease that was never granted counted as expired, and with the first poll without an answer all runs were recorded as lost, some of them milliseconds old with their starts on the way. They were placed elsewhere, or on the same upstream, while the first run worked on and ended as done; its end was then acknowledged as that of an unknown run. In the same way a start for the former incarnation that the new one executed got the longest lease, since the clock of the former one is ahead, and this lease counted as expired at once.

Change: a session belongs to one incarnation. The successor gets a session of its own, which takes over the runs, and the calls of the former one are cancelled with its session. The fencing token contains the incarnation below the term, so that an incarnation that has answered one call ignores all calls for its predecessors, however late they arrive. Until its first answered poll (`Upstream.confirmed`) it gets no start, and the lease that a call may have granted before counts as the longest one. A run that cannot have reached the new incarnation is lost with the commit of its first report; one that may have is lost once a poll shows that it is not there, or after the time in which a late start and its lease end. Starts that were not sent are never lost with a lease, and none is sent any more once its run is being recorded as lost. A new leader tells by the incarnation of the seat which runs belong to a former one.

Why it works: nothing that a call carries or brings back can be attributed to another incarnation any more, neither by this leader, which has no such call left, nor by the upstream, which refuses it.

Tests, each seen to fail before (daemon/jobs/test_restarts, five of five), and test_leader_term: the fence is compared with that of the incarnation, and a test of a jump of the clock waits until the upstream is confirmed, because the first poll would read the clock after the jump.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
@@ -11,6 +11,9 @@
 # Share of the longest lease that is requested; upstreams shorten leases above
 # the longest one.
 _LEASE_SHARE = 0.95
+# How long after its sending an order without an answer may still be executed,
+# in seconds: on the platform this takes 2 to 12 s.
+_LATE_ORDER_S = 12.0
 # Share of the gang patience after which a start without an answer is given
 # up, so that this happens before the members of its gang end.
 _START_TIMEOUT_SHARE = 0.7
@@ -64,7 +67,9 @@
     ``silent_after_s`` after its last report.  ``wait_ms`` is how
     long an upstream may wait for an end in a poll.  A stopping entry accepts
     new calls for ``notice_s`` after it reports as not ready, and calls in
-    progress get ``drain_s`` more.
+    progress get ``drain_s`` more.  ``longest_lease_ms`` is the longest lease
+    that upstreams grant, and ``late_order_s`` how long after its sending an
+    order without an answer may still be executed.
     """
 
     lease_ms: int
@@ -83,6 +88,8 @@
     report_valid_s: float
     restored_report_s: float
     silent_after_s: float
+    longest_lease_ms: int
+    late_order_s: float
 
 
 def derive_durations(bounds: BoundSettings) -> Durations:
@@ -108,4 +115,6 @@
         report_valid_s=min(bounds.heartbeat_ms * _MISSED_REPORTS, capacity_ms) / 1_000,
         restored_report_s=max(0.0, capacity_ms - silent_after_ms) / 1_000,
         silent_after_s=silent_after_ms / 1_000,
+        longest_lease_ms=bounds.longest_lease_ms,
+        late_order_s=_LATE_ORDER_S,
     )
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -130,7 +130,7 @@
         if self._leader_contact_at is not None:
             valid_until = self._leader_contact_at + self.durations.restored_report_s
         upstream_count = self._upstream_registry.restore(
-            self.durations.lease_ms, valid_until, self._report_filter.restores
+            self.durations.longest_lease_ms, valid_until, self._report_filter.restores
         )
         speed_count = self.speed_keeper.restore()
         run_count = self.supervisor.take_over()
@@ -206,6 +206,14 @@
             self._session_by_id[upstream_id] = session
         return session
 
+    def replace_session(
+        self, session: UpstreamSession, upstream: Upstream
+    ) -> UpstreamSession:
+        """Replace the session of an incarnation by one of its successor."""
+        successor = UpstreamSession(self, upstream, session)
+        self._session_by_id[upstream.report.upstream_id] = successor
+        return successor
+
     def find_session(self, upstream_id: str) -> UpstreamSession | None:
         """Return the session of an upstream, or None."""
         return self._session_by_id.get(upstream_id)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/replacements.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/replacements.py
@@ -46,24 +46,25 @@
             earlier = self._term.find_session(predecessor.report.upstream_id)
             if earlier is not None:
                 silences += earlier.silences()
-        self._term.spawn(
-            self._commit_successor(upstream, predecessors, silences, session)
-        )
+        successor = None
         if session is not None:
             session.log_replacement(upstream.report)
-            session.replace_incarnation(upstream)
+            successor = self._term.replace_session(session, upstream)
+        self._term.spawn(
+            self._commit_successor(upstream, predecessors, silences, successor)
+        )
 
     async def _commit_successor(
         self,
         upstream: Upstream,
         predecessors: list[Upstream],
         silences: list[RunSilence],
-        restarted: "UpstreamSession | None",
+        successor: "UpstreamSession | None",
     ) -> None:
         await self.note_silence(silences)
         await self._registry.commit((upstream.report,))
-        if restarted is not None:
-            restarted.stop_replaced()
+        if successor is not None:
+            await successor.begin()
         for predecessor in predecessors:
             predecessor.gone = True
             self._term.record_event("crashed")
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -21,8 +21,8 @@
 
 # Delay before a start without an answer is repeated, in seconds.
 _RETRY_DELAY_S = 0.1
-# Interval at which a start checks whether the upstream's clock is known, in
-# seconds: the first poll, which returns the clock, takes one round trip.
+# Interval at which a start checks whether the upstream has answered its first
+# poll, in seconds: the poll takes one round trip.
 _CLOCK_POLL_S = 0.01
 # How long an upstream gets no new work after it refused a start or did not
 # answer it, in seconds.
@@ -59,7 +59,7 @@
             if not term.may_start(self._session.upstream):
                 await self._give_up_start(task_run, "upstream is out of service")
                 return
-            if not self._session.upstream.clock_known:
+            if not self._session.upstream.confirmed:
                 if term.now() - first_attempt_at > term.durations.order_timeout_s:
                     await self._reject_unsent(task_run)
                     return
@@ -97,7 +97,7 @@
                 task_run.run,
                 term.payload(task_run),
                 self._session.upstream.grant_lease(term.durations.lease_ms, now),
-                term.fence,
+                self._session.fence,
                 unit.checkpoint,
             )
             upstream = self._session.upstream
@@ -116,10 +116,7 @@
                 looked = False
                 await asyncio.sleep(_RETRY_DELAY_S)
                 continue
-            if (
-                upstream is not self._session.upstream
-                or task_run.state != RunState.STARTING
-            ):
+            if task_run.state != RunState.STARTING:
                 return
             if reply.clock_ms is not None:
                 upstream.record_clock(reply.clock_ms, term.now())
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_supervisor.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_supervisor.py
@@ -139,17 +139,14 @@
             step,
             state,
             self._term.now(),
+            seat.incarnation,
             inherited=state == RunState.INHERITED,
+            taken_over=state == RunState.INHERITED,
         )
         session = self._term.session(upstream)
-        if (
-            state == RunState.STARTING
-            and upstream.report.incarnation != seat.incarnation
-        ):
-            # The upstream restarted while the placement was committed.
-            task_run.state = RunState.RUNNING
-            session.add(task_run)
-            session.stop(task_run, "upstream restarted")
+        if seat.incarnation < upstream.report.incarnation:
+            # The upstream restarted, for example during the commit.
+            session.add_replaced(task_run)
             return
         session.add(task_run)
 
@@ -168,7 +165,9 @@
             0,
         )
         fleet = self._term.fleet
-        fleet.restore_stale(report, self._term.durations.lease_ms, self._term.now())
+        fleet.restore_stale(
+            report, self._term.durations.longest_lease_ms, self._term.now()
+        )
         return fleet.by_id[seat.upstream_id]
 
     def _stop_if_useless(self, key: UnitKey, run: int) -> None:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -1,9 +1,11 @@
 """Supervision of the runs on one upstream by the leader."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
 
 from persimmonyard.daemon.jobs.contact import UpstreamContact, describe_silence
+from persimmonyard.daemon.jobs.durations import Durations
 from persimmonyard.daemon.jobs.run_descriptions import (
     describe_lost_runs,
     describe_silences,
@@ -26,6 +28,8 @@
     TaskKey,
     Upstream,
     UpstreamReport,
+    lease_s,
+    order_fence,
 )
 
 if TYPE_CHECKING:
@@ -46,37 +50,113 @@
 
 
 class UpstreamSession:
-    """Starts, monitors and stops the runs on one upstream.
+    """Starts, monitors and stops the runs on one incarnation of an upstream.
 
     A poll loop renews the lease and waits for ends; each start and stop is a
     separate asyncio task.  An end is acknowledged only after it is committed,
     because the upstream then deletes it.  Only a complete listing shows that a
     run is not present.
+
+    A later incarnation with the same identifier gets a session of its own,
+    which takes over the runs.  The session of the ``predecessor`` is closed
+    and its calls are cancelled, so that no result of theirs counts for the
+    successor.  The successor may execute starts of its predecessor until it
+    has answered its first poll, whose fencing token is higher.
     """
 
-    def __init__(self, leader_term: "LeaderTerm", upstream: Upstream):
+    def __init__(
+        self,
+        leader_term: "LeaderTerm",
+        upstream: Upstream,
+        predecessor: "UpstreamSession | None" = None,
+    ):
         self._term = leader_term
         self.upstream = upstream
+        self.fence = order_fence(leader_term.fence, upstream.report.incarnation)
         self.task_run_by_key: dict[tuple[TaskKey, int], TaskRun] = {}
         self._last_end_number = 0
         self._acknowledged_end = 0
         self._work_added = asyncio.Event()
         self._failed_polls = 0
         self._look_requested = False
+        # Unset until the report of an incarnation that replaces another one is
+        # committed.
+        self._begun = asyncio.Event()
+        # Until then, a run of an earlier incarnation may be at work on an
+        # upstream that does not answer.
+        self._in_doubt_until = leader_term.now() + _doubt_s(leader_term.durations)
+        self._tasks: set[asyncio.Task] = set()
+        self._closed = False
         self.contact = UpstreamContact(upstream.report.incarnation, leader_term.now)
         self._starter = RunStarter(leader_term, self)
-        self._poll_task = leader_term.spawn(self._poll_loop())
+        if predecessor is None:
+            self._begun.set()
+        else:
+            self._take_over(predecessor)
+        self._spawn(self._poll_loop())
 
     def close(self) -> None:
-        """Stop polling an upstream that is gone and has no runs."""
-        self._poll_task.cancel()
+        """Cancel all calls, of an upstream that is gone or was replaced."""
+        self._closed = True
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run a coroutine that is cancelled with the session."""
+        task = self._term.spawn(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def add(self, task_run: TaskRun) -> None:
         """Supervise a run that was placed on the upstream."""
         self.task_run_by_key[(task_run.task_key, task_run.run)] = task_run
         self._work_added.set()
         if task_run.state == RunState.STARTING:
-            self._term.spawn(self._starter.start(task_run))
+            self._spawn(self._starter.start(task_run))
+
+    def add_replaced(self, task_run: TaskRun) -> None:
+        """Supervise a run that was placed on an earlier incarnation.
+
+        It is not started, and only stopped if this incarnation lists it.
+        """
+        unsent = task_run.state == RunState.STARTING
+        task_run.replaced = True
+        self.stop(task_run, "upstream restarted")
+        self.add(task_run)
+        if unsent:
+            self._spawn(
+                self._term.commit_ends([self.run_end(task_run, TaskEnd.REJECTED)])
+            )
+
+    def _take_over(self, predecessor: "UpstreamSession") -> None:
+        """Take over the runs of the incarnation before and end its calls."""
+        predecessor.close()
+        for task_run in predecessor.task_run_by_key.values():
+            if task_run.incarnation >= self.upstream.report.incarnation:
+                # Placed here by an earlier leader, which had the report first.
+                self.add(task_run)
+                continue
+            if task_run.state == RunState.STARTING and task_run.sent:
+                task_run.in_doubt = True
+            task_run.replaced = True
+            task_run.stop_sent = False
+            self.stop(task_run, "upstream restarted")
+            self.add(task_run)
+        self.request_look()
+
+    async def begin(self) -> None:
+        """Record the runs as lost that cannot be at work on this incarnation.
+
+        The report of this incarnation is committed before, so that the crash
+        of its predecessor counts before their tasks are placed again.
+        """
+        ends = []
+        for task_run in self.task_run_by_key.values():
+            if task_run.replaced and not task_run.may_reach_successor():
+                ends.append(self.run_end(task_run, TaskEnd.LOST))
+        if ends and not self._closed:
+            await self._term.commit_ends(ends)
+        self._begun.set()
 
     def request_look(self) -> None:
         """Poll the upstream once, even if it has no runs."""
@@ -100,45 +180,43 @@
             progress=task_run.percent,
         )
         if not task_run.replaced:
-            self._term.spawn(self._stop(task_run))
-
-    def replace_incarnation(self, upstream: Upstream) -> None:
-        """Continue with a new incarnation, which has no earlier runs.
-
-        Starts that were sent to the previous one may still reach it, so
-        ``stop_replaced`` stops each run there before it counts as lost.
-        """
-        self.upstream = upstream
-        self.contact = UpstreamContact(upstream.report.incarnation, self._term.now)
-        self._last_end_number = 0
-        self._acknowledged_end = 0
-        for task_run in list(self.task_run_by_key.values()):
-            task_run.replaced = True
-            task_run.answered_at = None
-            self.stop(task_run, "upstream restarted")
-        self._work_added.set()
-
-    def stop_replaced(self) -> None:
-        """Stop the runs of earlier incarnations.
-
-        The report of the new one is committed before, so that the crash of
-        its predecessor counts before their tasks are placed again.
-        """
-        for task_run in self.task_run_by_key.values():
-            if task_run.replaced:
-                self._term.spawn(self._stop(task_run))
+            self._spawn(self._stop(task_run))
 
     async def record_all_lost(
         self, reason: str, run_end: TaskEnd = TaskEnd.LOST
     ) -> None:
         """Record all runs as lost, or as ended because the upstream left.
 
-        The upstream has ended, or all its leases have expired.
+        The upstream has ended.
         """
+        await self._record_lost(list(self.task_run_by_key.values()), reason, run_end)
+
+    async def _record_expired(self) -> None:
+        """Record the runs as lost that cannot be at work without a lease."""
+        now = self._term.now()
+        if not self.upstream.leases_expired(now):
+            return
+        lost = []
+        for task_run in self.task_run_by_key.values():
+            if task_run.replaced and not self.upstream.confirmed:
+                if now >= self._in_doubt_until:
+                    lost.append(task_run)
+                continue
+            if task_run.sent or task_run.taken_over:
+                lost.append(task_run)
+        await self._record_lost(lost, "all leases expired", TaskEnd.LOST)
+
+    async def _record_lost(
+        self, lost: list[TaskRun], reason: str, run_end: TaskEnd
+    ) -> None:
         if self.upstream.report.leaving:
             run_end = TaskEnd.LEFT
         ends = []
-        for task_run in self.task_run_by_key.values():
+        for task_run in lost:
+            if task_run.state == RunState.STARTING:
+                # Its start must not be sent while the end is being committed.
+                task_run.state = RunState.STOPPING
+                task_run.stop_reason = reason
             ends.append(self.run_end(task_run, run_end))
         if ends:
             await self._term.replacements.note_silence(self.silences())
@@ -147,9 +225,7 @@
                 upstream=self.upstream.report.upstream_id,
                 address=self.upstream.report.address,
                 runs=len(ends),
-                tasks=describe_lost_runs(
-                    self.task_run_by_key.values(), self._term.now()
-                ),
+                tasks=describe_lost_runs(lost, self._term.now()),
                 reason=reason,
                 incarnation=self.upstream.report.incarnation,
                 lease_left_ms=self.upstream.lease_left_ms(self._term.now()),
@@ -188,7 +264,7 @@
 
         The result is 0 if the listing is needed immediately.
         """
-        if not self.task_run_by_key or not self.upstream.clock_known:
+        if not self.task_run_by_key or not self.upstream.confirmed:
             return 0
         for task_run in self.task_run_by_key.values():
             if task_run.state == RunState.INHERITED:
@@ -208,34 +284,36 @@
         # A renewal without an answer may have been executed.  A poll after a
         # failed one therefore does not renew the lease: otherwise its latest
         # possible end would be postponed with each poll and never be reached.
-        if upstream.clock_known and self.task_run_by_key and not self._failed_polls:
+        if upstream.confirmed and self.task_run_by_key and not self._failed_polls:
             until_ms = upstream.grant_lease(term.durations.lease_ms, sent_at)
         acknowledged_end = self._last_end_number
         try:
             listing = await self.contact.call(
                 term.upstream_client.renew(
-                    self.target(), until_ms, term.fence, acknowledged_end, wait_ms
+                    self.target(), until_ms, self.fence, acknowledged_end, wait_ms
                 )
             )
         except NoAnswerError as error:
-            if upstream is not self.upstream:
-                self._log_late_result(upstream, "no answer", sent_at)
             await self._handle_no_answer(str(error))
             return
-        if upstream is not self.upstream:
-            self._log_late_result(upstream, "answer", sent_at)
-            return
         if isinstance(listing, OrderReply):
             await self._handle_refused_poll(listing)
             return
+        received_at = term.now()
         self._failed_polls = 0
-        if listing.incarnation > upstream.report.incarnation:
+        if listing.incarnation != upstream.report.incarnation:
             # The upstream restarted, and its first report has not arrived.
             self._log_other_incarnation(listing, acknowledged_end, until_ms)
             self._failed_polls = 1
             return
         self._acknowledged_end = max(self._acknowledged_end, acknowledged_end)
-        upstream.record_clock(listing.clock_ms, term.now())
+        if upstream.confirmed:
+            upstream.record_clock(listing.clock_ms, received_at)
+        else:
+            upstream.confirm(
+                listing.clock_ms, received_at, term.durations.longest_lease_ms
+            )
+        await self._begun.wait()
         if self.contact.silent_at is None:
             await term.replacements.note_answer(upstream.report)
         await self._process_listing(listing, sent_at)
@@ -247,6 +325,9 @@
         """
         found = []
         for task_run in self.task_run_by_key.values():
+            if task_run.replaced:
+                # Noted when its incarnation was replaced.
+                continue
             run_silence = self.silence_of(task_run)
             if run_silence is not None:
                 found.append(run_silence)
@@ -287,9 +368,9 @@
         )
 
     def target(self) -> Target:
-        """Return the identifier and address for calls."""
+        """Return the upstream to call."""
         report = self.upstream.report
-        return Target(report.upstream_id, report.address)
+        return Target(report.upstream_id, report.address, report.incarnation)
 
     async def _handle_no_answer(self, error: str) -> None:
         self._failed_polls = min(self._failed_polls + 1, 8)
@@ -300,10 +381,8 @@
                 error=error,
             )
             await self._term.replacements.note_silence(self.silences())
-        now = self._term.now()
-        self.upstream.avoid(now + _NO_ANSWER_AVOID_S)
-        if self.upstream.leases_expired(now):
-            await self.record_all_lost("all leases expired")
+        self.upstream.avoid(self._term.now() + _NO_ANSWER_AVOID_S)
+        await self._record_expired()
 
     async def _handle_refused_poll(self, reply: OrderReply) -> None:
         self._failed_polls = min(self._failed_polls + 1, 8)
@@ -316,8 +395,7 @@
             upstream=self.upstream.report.upstream_id,
             result=str(reply.result),
         )
-        if self.upstream.leases_expired(self._term.now()):
-            await self.record_all_lost("all leases expired")
+        await self._record_expired()
 
     async def _process_listing(self, listing: RunListing, sent_at: float) -> None:
         now = self._term.now()
@@ -329,6 +407,9 @@
             if task_run is None:
                 self._stop_unknown(listed_run.task_key, listed_run.run)
                 continue
+            if task_run.replaced and not task_run.stop_sent:
+                task_run.stop_sent = True
+                self._spawn(self._stop(task_run))
             task_run.update_progress(listed_run.percent, listed_run.checkpoint, now)
             if task_run.state in (RunState.INHERITED, RunState.STARTING):
                 task_run.state = RunState.RUNNING
@@ -350,9 +431,6 @@
             )
         if ends:
             await self._term.commit_ends(ends)
-        if upstream is not self.upstream:
-            # The numbers of a new incarnation begin again.
-            return
         for ended in listing.ended:
             self._last_end_number = max(self._last_end_number, ended.number)
         self._term.stop_stalled_runs(self)
@@ -401,6 +479,9 @@
 
         Returns None if the run has not ended or must be stopped first.
         """
+        if task_run.replaced:
+            # No start for an earlier incarnation is executed any more.
+            return self.run_end(task_run, TaskEnd.LOST)
         if task_run.state == RunState.INHERITED:
             # The zone or the upstream may have been taken out of service
             # since the placement, so the run is stopped and placed again
@@ -412,10 +493,7 @@
         if task_run.answered_at is None or sent_at <= task_run.answered_at:
             return None
         if task_run.state == RunState.STOPPING:
-            # A run that may have begun on an earlier incarnation must not seem
-            # rejected: a stop that was sent before the restart may end it
-            # before the report of the successor is committed.
-            began = task_run.started_at is not None or task_run.replaced
+            began = task_run.started_at is not None
             end = TaskEnd.LOST if began else TaskEnd.REJECTED
             return self.run_end(task_run, end)
         if task_run.state == RunState.RUNNING:
@@ -423,18 +501,6 @@
             self.stop(task_run, "not listed by the upstream")
         return None
 
-    def _log_late_result(self, called: Upstream, result: str, sent_at: float) -> None:
-        """Log that a poll of an earlier incarnation has ended."""
-        self._term.record_event("late_result")
-        self._term.log.info(
-            "late result",
-            upstream=called.report.upstream_id,
-            incarnation=called.report.incarnation,
-            successor=self.upstream.report.incarnation,
-            result=result,
-            took_ms=int((self._term.now() - sent_at) * 1_000),
-        )
-
     def _log_other_incarnation(
         self, listing: RunListing, acknowledged_end: int, until_ms: int
     ) -> None:
@@ -471,7 +537,7 @@
             run=run,
             upstream=self.upstream.report.upstream_id,
         )
-        self._term.spawn(self._send_stop(task_key, run))
+        self._spawn(self._send_stop(task_key, run))
 
     def run_end(
         self, task_run: TaskRun, end: TaskEnd, checkpoint: str | None = None
@@ -483,9 +549,8 @@
         )
 
     async def _stop(self, task_run: TaskRun) -> None:
-        upstream = self.upstream
-        while (task_run.task_key, task_run.run) in self.task_run_by_key:
-            if upstream is not self.upstream or not self._term.leads():
+        while self.supervises(task_run):
+            if not self._term.leads():
                 return
             if await self._send_stop(task_run.task_key, task_run.run):
                 task_run.answered_at = self._term.now()
@@ -500,7 +565,7 @@
         term = self._term
         try:
             reply = await self.contact.call(
-                term.upstream_client.stop(self.target(), task_key, run, term.fence)
+                term.upstream_client.stop(self.target(), task_key, run, self.fence)
             )
         except NoAnswerError:
             return False
@@ -510,3 +575,11 @@
             term.record_stale_fence(self.upstream)
             return False
         return reply.result == OrderResult.DONE
+
+
+def _doubt_s(durations: Durations) -> float:
+    """Return how long a run of an earlier incarnation may be at work.
+
+    A start of it may be executed late, and then gets the longest lease.
+    """
+    return durations.late_order_s + lease_s(durations.longest_lease_ms)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/task_run.py
@@ -51,6 +51,7 @@
 class TaskRun:
     """One run of a task on one upstream; times are of the monotonic clock.
 
+    ``incarnation`` is the one of the upstream on which it was placed.
     ``sent`` is true once a start was sent, and ``in_doubt`` if one got no
     answer, so that the upstream may still execute it.  ``delivered_at`` is
     when the first start was sent that may have reached the upstream, whose
@@ -60,8 +61,11 @@
     ``progressed_at`` is when ``percent`` last changed.  ``first_percent`` is
     the progress in the first listing, at ``first_progress_at``.
     ``inherited`` is true while no poll has shown whether an earlier leader has
-    started the run, also if it is being stopped meanwhile.  ``replaced`` is
-    true once another incarnation has taken the place of the run's upstream.
+    started the run, also if it is being stopped meanwhile.  ``taken_over`` is
+    true if an earlier leader has placed it and may have sent starts of its
+    own.  ``replaced`` is true once another incarnation has taken the place of
+    the run's upstream, and ``stop_sent`` once that one has listed the run and
+    is told to stop it.
     ``work_began_at`` is when the upstream answered the start, unless the run
     continues from a checkpoint or may have begun earlier, and ``mark`` is the
     progress from which its rate is measured next.
@@ -73,8 +77,11 @@
     step: Step
     state: RunState
     placed_at: float
+    incarnation: int = 0
     inherited: bool = False
+    taken_over: bool = False
     replaced: bool = False
+    stop_sent: bool = False
     sent: bool = False
     in_doubt: bool = False
     delivered_at: float | None = None
@@ -108,6 +115,16 @@
             self.checkpoint = checkpoint
             self.saved_at = now
 
+    def may_reach_successor(self) -> bool:
+        """Return whether the next incarnation may execute a start of the run.
+
+        It does not if no start was sent, or if the only one was executed by
+        this incarnation, which has listed the run.
+        """
+        if self.taken_over or self.in_doubt:
+            return True
+        return self.sent and not self.listed
+
     def is_stalled(self, now: float) -> bool:
         """Return whether the run is stalled and should restart elsewhere.
 
--- a/packages/daemon/src/persimmonyard/daemon/jobs/upstream_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/upstream_client.py
@@ -28,10 +28,15 @@
 
 
 class Target(NamedTuple):
-    """Identifier and address of the upstream that is called."""
+    """The upstream that is called.
+
+    The call names only its identifier, which a later incarnation may have as
+    well.
+    """
 
     upstream_id: str
     address: str
+    incarnation: int = 0
 
 
 class StartOrder(NamedTuple):
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -47,7 +47,13 @@
     ServiceSpec,
     configuration_problem,
 )
-from persimmonyard.jobs.fleet import Fleet, Upstream, UpstreamReport
+from persimmonyard.jobs.fleet import (
+    Fleet,
+    Upstream,
+    UpstreamReport,
+    lease_s,
+    order_fence,
+)
 from persimmonyard.jobs.health import UpstreamHealth
 from persimmonyard.jobs.job_checks import job_problem
 from persimmonyard.jobs.kinds import task_kind
@@ -148,7 +154,9 @@
     "encode_command",
     "is_upstream_report",
     "job_problem",
+    "lease_s",
     "limit_reason",
+    "order_fence",
     "preview_placement",
     "task_kind",
     "total_capacity",
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -9,7 +9,7 @@
 
 from persimmonyard.model import Resources
 
-__all__ = ["Fleet", "Upstream", "UpstreamReport"]
+__all__ = ["Fleet", "Upstream", "UpstreamReport", "lease_s", "order_fence"]
 
 # Lowest rate of an upstream's clock relative to true time; the platform
 # documents it.
@@ -22,6 +22,25 @@
 # A lease counts as expired this long after its end on the slowest clock, in
 # milliseconds.
 _LEASE_END_MARGIN_MS = 150
+# Bits of a fencing token below those of the term: enough for the Unix time in
+# milliseconds of the start of an incarnation until the year 2109.
+_INCARNATION_BITS = 42
+
+
+def order_fence(term: int, incarnation: int) -> int:
+    """Return the fencing token of a leader's orders to an incarnation.
+
+    It rises with the term and, within a term, with the incarnation.  An
+    incarnation that has answered one order ignores each later arrival of an
+    order for an earlier one, although both name the same identifier.
+    """
+    largest = (1 << _INCARNATION_BITS) - 1
+    return (term << _INCARNATION_BITS) | min(incarnation, largest)
+
+
+def lease_s(lease_ms: int) -> float:
+    """Return how long a lease lasts at most, in seconds of true time."""
+    return (lease_ms + _LEASE_END_MARGIN_MS) / 1_000 / _MIN_CLOCK_RATE
 
 
 class UpstreamReport(NamedTuple):
@@ -63,6 +82,8 @@
     the upstream has ended or another one has taken over its address.  A
     restored report without a later one is valid up to ``valid_until``.
     ``failing`` is true from a failed task on until one completes.
+    ``confirmed`` is true once the incarnation has answered an order of this
+    leader, so that no order for an earlier one has an effect on it any more.
     """
 
     report: UpstreamReport
@@ -75,6 +96,7 @@
     avoid_until: float = 0.0
     valid_until: float = float("inf")
     failing: bool = False
+    confirmed: bool = False
 
     def clock_floor_ms(self, now: float) -> int:
         """Return a lower bound of the upstream's clock at ``now``."""
@@ -96,6 +118,17 @@
             self.clock_ms = clock_ms
             self.clock_at = now
 
+    def confirm(self, clock_ms: int, now: float, longest_lease_ms: int) -> None:
+        """Record the first listing of the incarnation, received at ``now``.
+
+        An order for an earlier incarnation may have granted a lease before,
+        whose end on the clock of that one is far ahead.  The upstream shortens
+        it to ``longest_lease_ms``.
+        """
+        self.record_clock(clock_ms, now)
+        self.confirmed = True
+        self.latest_lease_end_ms = self.clock_floor_ms(now) + longest_lease_ms
+
     def grant_lease(self, lease_ms: int, now: float) -> int:
         """Grant a lease and return its end on the upstream's clock."""
         lease_end_ms = self.clock_floor_ms(now) + lease_ms
--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -37,6 +37,8 @@
     report_valid_s=1_000.0,
     restored_report_s=60.0,
     silent_after_s=800.0,
+    longest_lease_ms=2_100,
+    late_order_s=0.5,
 )
 CLOCK_MS = 1_000
 
@@ -178,24 +180,30 @@
         upstream.acknowledged_end = max(upstream.acknowledged_end, acknowledged_end)
         upstream.leases.append(until_ms)
         waited = 0
-        while waited < wait_ms and not self._unacknowledged_ends(
-            upstream, acknowledged_end
-        ):
+        while waited < wait_ms and not self._unacknowledged_ends(upstream):
             await asyncio.sleep(0.005)
             waited += 5
         self._reach(target)
         running = []
         for task_key, run in upstream.running.items():
             running.append(RunningRun(task_key, run, "", 10))
-        unacknowledged = self._unacknowledged_ends(upstream, acknowledged_end)
+        unacknowledged = self._unacknowledged_ends(upstream)
         ended = tuple(unacknowledged[: self.page_size])
         complete = self.page_size is None or len(ended) < self.page_size
         return RunListing(
             self.clock_ms(), upstream.incarnation, tuple(running), ended, complete
         )
 
-    def _unacknowledged_ends(self, upstream, acknowledged_end):
-        return [ended for ended in upstream.ended if ended.number > acknowledged_end]
+    def _unacknowledged_ends(self, upstream):
+        """Return the ends beyond the highest number that was acknowledged.
+
+        The number is kept, also if it is ahead of the ends.
+        """
+        return [
+            ended
+            for ended in upstream.ended
+            if ended.number > upstream.acknowledged_end
+        ]
 
     async def close(self):
         pass
--- a/test/daemon/jobs/test_leader_term.py
+++ b/test/daemon/jobs/test_leader_term.py
@@ -23,6 +23,7 @@
     StartEvidence,
     SubmitJob,
     TaskEnd,
+    order_fence,
 )
 from persimmonyard.replication import NotLeaderError, boottime_now
 from test.daemon.jobs.fakes import (
@@ -363,6 +364,9 @@
         first start arrives after its lease.
         """
         self.leader.report("u1")
+        upstream = self.leader.term.fleet.by_id["u1"]
+        self.leader.term.session(upstream).request_look()
+        await wait_until(lambda: upstream.confirmed)
         self.upstreams.clock_ahead_ms = 2 * DURATIONS.lease_ms
         await self.submit(step())
         await wait_until(lambda: self.upstream.started)
@@ -622,7 +626,7 @@
         first.leading = False
         first.term.close()
         second = await self.take_over(upstreams, first.store)
-        await wait_until(lambda: upstream.fence == 2)
+        await wait_until(lambda: upstream.fence == order_fence(2, 1))
         upstream.end(upstream.started[0][0], TaskEnd.DONE)
         record = first.store.job_by_id[JOB_ID]
         await wait_until(lambda: record.state() == JobState.COMPLETED)
@@ -656,7 +660,7 @@
         first = await self.first_leader(upstreams)
         await wait_until(lambda: upstream.started)
         await self.take_over(upstreams, first.store)
-        await wait_until(lambda: upstream.fence == 2)
+        await wait_until(lambda: upstream.fence == order_fence(2, 1))
         task_key, run, _ = upstream.started[0]
         reply = upstream.stop(task_key, run, 1)
         self.assertEqual(OrderResult.STALE_FENCE, reply)
--- /dev/null
+++ b/test/daemon/jobs/test_restarts.py
@@ -0,0 +1,171 @@
+"""Tests of upstreams that restart under their identifier and address.
+
+Calls for the former incarnation are executed by the next one, because they
+name only the identifier.
+"""
+
+import asyncio
+import unittest
+
+from persimmonyard.daemon.jobs.upstream_client import NoAnswerError
+from persimmonyard.jobs import EndRuns, JobState, SubmitJob, TaskEnd, order_fence
+from test.daemon.jobs.fakes import FakeUpstreamClient, InMemoryLeader, wait_until
+from test.jobs.fixtures import job, step
+
+FIRST, SECOND = "00000000000000b1", "00000000000000b2"
+
+
+class HangingPolls(FakeUpstreamClient):
+    """An upstream client whose polls hang while ``hanging`` is set.
+
+    Those in progress fail when ``failed`` is set.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.hanging = False
+        self.hanging_count = 0
+        self.failed = asyncio.Event()
+
+    async def renew(self, target, until_ms, fence, acknowledged_end, wait_ms):
+        if self.hanging:
+            self.hanging_count += 1
+            await self.failed.wait()
+            raise NoAnswerError("time-out")
+        return await super().renew(target, until_ms, fence, acknowledged_end, wait_ms)
+
+
+class RestartTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.upstreams = HangingPolls()
+        self.former = self.upstreams.add("u1")
+        self.leader = InMemoryLeader(self.upstreams)
+        self.leader.term.start()
+        self.addCleanup(lambda: self.leader.term.close())
+
+    async def submit(self, job_id, *steps):
+        submitted = job(*steps, job_id=job_id)
+        await self.leader.term.commit(SubmitJob(submitted))
+        return self.leader.store.job_by_id[job_id]
+
+    def restart(self):
+        """Replace the process of u1, which has not reported yet."""
+        replacement = self.upstreams.add("u1")
+        replacement.incarnation = 2
+        return replacement
+
+    def ends(self):
+        """Return how the runs of each committed command have ended."""
+        found = []
+        for command in self.leader.proposed:
+            if isinstance(command, EndRuns):
+                found += [end.end for end in command.ends]
+        return found
+
+    async def test_run_executed_by_the_next_incarnation_is_not_started_elsewhere(self):
+        """Guards against a lease that a late call for another one granted."""
+        self.leader.report("u1")
+        self.upstreams.delayed.add("u1")
+        record = await self.submit(FIRST, step())
+        await wait_until(lambda: self.upstreams.delayed_starts)
+        replacement = self.restart()
+        replacement.start(self.upstreams.delayed_starts[0][1])
+        self.upstreams.silent.add("u1")
+        other = self.upstreams.add("u2")
+        self.leader.report("u2")
+        self.leader.report("u1", incarnation=2)
+        await asyncio.sleep(1.0)
+        self.assertEqual([], other.started)
+        self.upstreams.silent.clear()
+        replacement.end(next(iter(replacement.running)), TaskEnd.DONE)
+        await wait_until(lambda: record.state() == JobState.COMPLETED)
+        self.assertEqual([TaskEnd.DONE], self.ends())
+
+    async def test_run_that_no_incarnation_executes_starts_again_at_once(self):
+        """Guards against waiting for a lease although the end is certain.
+
+        The poll in progress hangs until long after the restart.
+        """
+        self.leader.report("u1")
+        await self.submit(FIRST, step())
+        await wait_until(lambda: self.listed_once())
+        self.upstreams.hanging = True
+        await wait_until(lambda: self.upstreams.hanging_count)
+        self.upstreams.hanging = False
+        replacement = self.restart()
+        self.leader.report("u1", incarnation=2)
+        await wait_until(lambda: replacement.started, 1.0)
+        self.assertEqual([TaskEnd.LOST], self.ends())
+
+    def listed_once(self):
+        session = self.leader.term.find_session("u1")
+        return session and any(
+            task_run.listed for task_run in session.task_run_by_key.values()
+        )
+
+    async def test_failed_poll_of_the_former_incarnation_is_none_of_the_next(self):
+        """Guards against conclusions from a call to another incarnation."""
+        self.leader.report("u1")
+        await self.submit(FIRST, step())
+        await wait_until(lambda: self.former.started)
+        self.upstreams.hanging = True
+        await wait_until(lambda: self.upstreams.hanging_count)
+        self.upstreams.hanging = False
+        replacement = self.restart()
+        self.leader.report("u1", incarnation=2)
+        await wait_until(lambda: replacement.started)
+        self.upstreams.failed.set()
+        await asyncio.sleep(0.1)
+        upstream = self.leader.term.fleet.by_id["u1"]
+        self.assertEqual(0.0, upstream.avoid_until)
+        self.assertIsNone(self.leader.term.session(upstream).contact.silent_at)
+
+    async def test_start_for_the_former_incarnation_is_refused_after_a_poll(self):
+        """Guards against a start that is executed seconds after a restart."""
+        self.leader.report("u1")
+        self.upstreams.delayed.add("u1")
+        await self.submit(FIRST, step())
+        await wait_until(lambda: self.upstreams.delayed_starts)
+        order = self.upstreams.delayed_starts[0][1]
+        replacement = self.restart()
+        self.leader.report("u1", incarnation=2)
+        await wait_until(lambda: replacement.leases)
+        replacement.start(order)
+        self.assertNotIn((order.task_key, order.run, ""), replacement.started)
+
+    async def test_new_leader_counts_a_run_of_a_former_incarnation_as_lost(self):
+        """Guards against taking it for a run of the new incarnation."""
+        self.leader.report("u1")
+        await self.submit(FIRST, step())
+        await wait_until(lambda: self.former.started)
+        replacement = self.restart()
+        self.leader.commit_s = 0.1
+        self.leader.report("u1", incarnation=2)
+        await asyncio.sleep(0.05)
+        self.leader.term.close()
+        store = self.leader.store
+        await wait_until(lambda: not self.leader.commits)
+        self.leader = InMemoryLeader(self.upstreams, store, fence=2)
+        self.leader.term.start()
+        self.leader.report("u1", incarnation=2, sequence=2)
+        await wait_until(lambda: replacement.started, 2.0)
+        self.assertEqual([TaskEnd.LOST], self.ends())
+
+
+class OrderFenceTests(unittest.TestCase):
+    def test_fence_rises_with_the_term_and_with_the_incarnation(self):
+        """Guards against orders for a former incarnation that are obeyed."""
+        born_ms = 1_800_000_000_000
+        fences = [
+            order_fence(1, born_ms),
+            order_fence(1, born_ms + 1),
+            order_fence(2, 0),
+            order_fence(2, 1 << 60),
+            order_fence(3, born_ms),
+        ]
+        self.assertEqual(sorted(set(fences)), fences)
+        self.assertLess(order_fence(1 << 20, born_ms), 1 << 63)
+
+
+if __name__ == "__main__":
+    unittest.main()
