Keep connections to different incarnations of an upstream apart

What callers saw: after an upstream had restarted, its first calls hung until their time-outs (0.45 to 0.8 s each), because idle connections to the former incarnation were used again; a host that loses power resets none of them.

The test failed before (one connection instead of two).

--- a/test/platform_adapter/test_upstreams.py
+++ b/test/platform_adapter/test_upstreams.py
@@ -139,6 +139,14 @@
             await self.client.stop(self.target, TASK_KEY, 2, 7)
         self.assertEqual(1, self.upstream.connection_count)
 
+    async def test_connections_are_not_shared_between_incarnations(self):
+        """Guards against calls on a connection to an upstream that is dead."""
+        self.upstream.set_response(200, {"clock_ms": 1})
+        for incarnation in (1, 1, 2, 2):
+            target = self.target._replace(incarnation=incarnation)
+            await self.client.stop(target, TASK_KEY, 2, 7)
+        self.assertEqual(2, self.upstream.connection_count)
+
     async def test_missing_and_truncated_responses_raise_no_answer(self):
         """Guards against treating an order without an answer as refused.
 
