Acknowledge ends in calls of their own

Cause: each poll carried the number of the last end that was read, also the polls between a restart and the first report of the new incarnation, which accepts them. Its numbers begin at 1, and ends up to the number are forgotten, so it forgot its own ends unread. The leader found the runs missing and placed them again.

Evidence: test_restarts drives a leader against an upstream that keeps the number: 3 of the former incarnation's ends reach the next one before it has ended a task.

Change: a poll acknowledges nothing. Ends are acknowledged right after the listing that has them, in a call that does not wait. If their commit took over 0.1 s, the upstream lists its runs again before. A call without an answer is not repeated; the ends are listed again.

Why it works: only an incarnation that has just listed its runs gets a number, and a call is in flight for milliseconds instead of seconds. What remains is a call that is on its way when the upstream crashes and is executed by the next incarnation before that one has answered its first poll.

Cost: at most one further call for each batch of ends; polls without ends are as before.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -47,6 +47,9 @@
 # A poll that only acknowledges ends is delayed this long, in seconds: if new
 # work arrives in that time, its poll acknowledges them as well.
 _ACKNOWLEDGE_DELAY_S = 0.3
+# Age of a listing up to which its ends are acknowledged, in seconds: an
+# upstream needs longer than this to restart.
+_FRESH_LISTING_S = 0.1
 
 
 class UpstreamSession:
@@ -276,7 +279,28 @@
         return self._term.durations.wait_ms
 
     async def poll(self, wait_ms: int) -> None:
-        """Renew the lease, wait for an end and process the listing."""
+        """Renew the lease, wait for an end and process the listing.
+
+        Ends are acknowledged by a call of its own right after a listing, which
+        does not wait and so is hardly ever in flight when the upstream ends:
+        a later incarnation would forget its own ends up to the number.
+        """
+        listed_at = await self._request_listing(wait_ms, 0)
+        while listed_at is not None and self._last_end_number > self._acknowledged_end:
+            number = self._last_end_number
+            if self._term.now() - listed_at > _FRESH_LISTING_S:
+                # The upstream may have restarted during the commit.
+                number = 0
+            listed_at = await self._request_listing(0, number)
+
+    async def _request_listing(
+        self, wait_ms: int, acknowledged_end: int
+    ) -> float | None:
+        """Request and process a listing; return when it was received.
+
+        Returns None if there is none of this incarnation.  The ends up to the
+        number ``acknowledged_end`` are acknowledged, and none if it is 0.
+        """
         term = self._term
         upstream = self.upstream
         sent_at = term.now()
@@ -284,9 +308,13 @@
         # A renewal without an answer may have been executed.  A poll after a
         # failed one therefore does not renew the lease: otherwise its latest
         # possible end would be postponed with each poll and never be reached.
-        if upstream.confirmed and self.task_run_by_key and not self._failed_polls:
+        if (
+            upstream.confirmed
+            and self.task_run_by_key
+            and not self._failed_polls
+            and not acknowledged_end
+        ):
             until_ms = upstream.grant_lease(term.durations.lease_ms, sent_at)
-        acknowledged_end = self._last_end_number
         try:
             listing = await self.contact.call(
                 term.upstream_client.renew(
@@ -295,17 +323,17 @@
             )
         except NoAnswerError as error:
             await self._handle_no_answer(str(error))
-            return
+            return None
         if isinstance(listing, OrderReply):
             await self._handle_refused_poll(listing)
-            return
+            return None
         received_at = term.now()
         self._failed_polls = 0
         if listing.incarnation != upstream.report.incarnation:
             # The upstream restarted, and its first report has not arrived.
             self._log_other_incarnation(listing, acknowledged_end, until_ms)
             self._failed_polls = 1
-            return
+            return None
         self._acknowledged_end = max(self._acknowledged_end, acknowledged_end)
         if upstream.confirmed:
             upstream.record_clock(listing.clock_ms, received_at)
@@ -317,6 +345,7 @@
         if self.contact.silent_at is None:
             await term.replacements.note_answer(upstream.report)
         await self._process_listing(listing, sent_at)
+        return received_at
 
     def silences(self) -> list[RunSilence]:
         """Return what the silence of the upstream says about its runs.
--- a/test/daemon/jobs/test_restarts.py
+++ b/test/daemon/jobs/test_restarts.py
@@ -103,6 +103,30 @@
             task_run.listed for task_run in session.task_run_by_key.values()
         )
 
+    async def test_acknowledgement_deletes_no_end_of_the_next_incarnation(self):
+        """Guards against ends that are forgotten before they are read.
+
+        The number of the former incarnation's last end must not reach the next
+        one, whose numbers begin at 1.
+        """
+        self.leader.report("u1")
+        record = await self.submit(FIRST, step(4))
+        await wait_until(lambda: len(self.former.started) == 4)
+        for task_key in list(self.former.running)[:3]:
+            self.former.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: self.former.acknowledged_end == 3)
+        replacement = self.restart()
+        await wait_until(lambda: replacement.leases)
+        self.assertEqual(0, replacement.acknowledged_end)
+        self.leader.report("u1", incarnation=2)
+        second = await self.submit(SECOND, step(2))
+        await wait_until(lambda: len(replacement.running) == 3)
+        for task_key in list(replacement.running):
+            replacement.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: record.state() == JobState.COMPLETED)
+        await wait_until(lambda: second.state() == JobState.COMPLETED)
+        self.assertEqual(3, len(replacement.started))
+
     async def test_failed_poll_of_the_former_incarnation_is_none_of_the_next(self):
         """Guards against conclusions from a call to another incarnation."""
         self.leader.report("u1")
