Try lasting work behind an ordinary step of the same needs

What callers saw: a long-running task waits beside idle upstreams that are reserved for a gang, although such tasks use reserved upstreams, if an ordinary step with the same needs comes before it in the queue.

Cause: a plan remembers the shapes that found no room and skips further units of them. The shape did not contain whether the step is long-running, which decides whether reserved upstreams count.

Change: `planning_round._shape` contains `long_running`. An ordinary step that a reservation keeps out then says nothing about a long-running one.

Evidence: the new test places 0 of 2 tasks without the change and both with it.

--- a/packages/jobs/src/persimmonyard/jobs/planning_round.py
+++ b/packages/jobs/src/persimmonyard/jobs/planning_round.py
@@ -428,4 +428,12 @@
     limit per upstream.
     """
     step = waiting.step
-    return (waiting.route.service, step.needs, step.fills, step.label, step.rack)
+    # Long-running tasks use reserved upstreams, others do not.
+    return (
+        waiting.route.service,
+        step.needs,
+        step.fills,
+        step.label,
+        step.rack,
+        step.long_running,
+    )
--- a/test/jobs/test_lasting_work.py
+++ b/test/jobs/test_lasting_work.py
@@ -63,6 +63,21 @@
         plan = cluster.place(after_ms=2_000)
         self.assertEqual([WAITING_ID] * 2, job_ids(plan))
 
+    def test_lasting_work_does_not_wait_with_a_step_of_the_same_needs(self):
+        """Guards against a lasting task that is not tried at all.
+
+        A step of the same needs, which may not use reserved upstreams, comes
+        before it in the same plan.
+        """
+        cluster = self.fleet_with_lasting_work(8, 4)
+        cluster.submit(step(2, gpu=8), job_id="b" * 16)
+        cluster.place()
+        cluster.submit(step(4, gpu=8, gang=True), job_id=GANG_ID, route="urgent")
+        cluster.submit(step(gpu=4), job_id="c" * 16)
+        cluster.submit(lasting(2, gpu=4), job_id=WAITING_ID, route="batch")
+        plan = cluster.place(after_ms=2_000)
+        self.assertEqual([WAITING_ID] * 2, job_ids(plan))
+
     def test_gang_still_gets_room_beside_a_stream_of_small_tasks(self):
         """Guards against small tasks that take each upstream that is freed."""
         cluster = self.fleet_with_lasting_work(8, 2)
