Count a crash for no run on an earlier incarnation

If an upstream restarted again before the end of a run on an earlier incarnation was known, for example because the stop of that run got no answer, then the second restart counted as one more crash under that run:

- the crash of the first incarnation stood twice in the crashes of the unit and in the log from which the rate of crashes follows;
- after a planned restart, the crash of the next incarnation was blamed on the run that had been there before;
- so was that of an incarnation whose report had been committed before the placement of the run, which was therefore never started.

Cause: `crashed_before` took each incarnation with open seats for one that ends with the present report, although an earlier successor had shown how it ended. Only `record_lost` asked for that.

Change: both ask `_has_known_successor`, which also looks at successors that fell silent and were removed from the registry.

Evidence: five new tests of `test.jobs.test_crashes`, each of which failed before; all 36 of the module pass now, and all 394 of test/jobs and test/daemon/jobs.

--- a/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
+++ b/packages/jobs/src/persimmonyard/jobs/crash_accounting.py
@@ -86,10 +86,9 @@
         for crash in unit.crashes:
             if crash.run == unit.run and crash.upstream_id == seat.upstream_id:
                 return
-        for report in self._store.report_by_upstream.values():
-            if _is_predecessor(seat, report) and report.incarnation > seat.incarnation:
-                # Its successor has reported, so it is known how it ended.
-                return
+        if self._has_known_successor(seat):
+            # It is known how its upstream ended.
+            return
         lost = _lost_seat(unit, seat_record)
         unit.lost_seats = newest_runs(
             [*unit.lost_seats, lost], _run_of, _MAX_LOST_SEATS
@@ -136,7 +135,9 @@
     def crashed_before(self, report: UpstreamReport) -> list[_Incarnation]:
         """Return the incarnations that a new one at the address replaces.
 
-        Those that had announced to leave are not returned.
+        Those that had announced to leave are not returned, nor are those with
+        a known successor: what its report showed of them is recorded, although
+        runs on them may not have ended yet.
         """
         ended_by_incarnation: dict[tuple[str, int], _Incarnation] = {}
         for seats in self._store.seats_by_upstream.values():
@@ -159,11 +160,25 @@
         silent = self._store.silent_report_by_address.get(report.address)
         if silent is not None:
             self._add_ended(ended_by_incarnation, silent, report)
-        return [
-            ended
-            for _, ended in sorted(ended_by_incarnation.items())
-            if not self._left(ended.upstream_id, ended.incarnation)
-        ]
+        found = []
+        for _, ended in sorted(ended_by_incarnation.items()):
+            if self._left(ended.upstream_id, ended.incarnation):
+                continue
+            if not self._has_known_successor(ended):
+                found.append(ended)
+        return found
+
+    def _has_known_successor(self, earlier: Seat | _Incarnation) -> bool:
+        """Return whether a later incarnation has reported in its place."""
+        silent = self._store.silent_report_by_address.get(earlier.address)
+        if silent is not None and silent.incarnation > earlier.incarnation:
+            return True
+        for report in self._store.report_by_upstream.values():
+            if report.incarnation <= earlier.incarnation:
+                continue
+            if _is_predecessor(earlier, report):
+                return True
+        return False
 
     def _add_ended(
         self,
@@ -407,7 +422,9 @@
     unit.excused_runs = len(excused)
 
 
-def _is_predecessor(earlier: Seat | UpstreamReport, report: UpstreamReport) -> bool:
+def _is_predecessor(
+    earlier: Seat | UpstreamReport | _Incarnation, report: UpstreamReport
+) -> bool:
     """Return whether a new incarnation takes the place of an earlier one."""
     same_upstream = earlier.upstream_id == report.upstream_id
     return same_upstream or earlier.address == report.address
--- a/test/jobs/test_crashes.py
+++ b/test/jobs/test_crashes.py
@@ -341,6 +341,82 @@
         self.restart("a")
         self.assertEqual([], self.crashes())
 
+    def test_second_restart_counts_for_no_run_on_an_earlier_incarnation(self):
+        """Guards against one crash that counts twice under one run.
+
+        The end of the run is not known yet when its upstream, which crashed
+        under it, restarts once more.
+        """
+        self.submit(step())
+        self.report("a")
+        self.place("a")
+        self.now_ms += 20
+        for _ in range(3):
+            self.restart("a")
+            self.now_ms += 500
+        self.assertEqual([1], [crash.incarnation for crash in self.crashes()])
+        recent = self.store._crash_accounting.recent_crashes()
+        self.assertEqual([1, 2, 3], [crash.incarnation for crash in recent])
+
+    def test_crash_after_a_planned_restart_counts_for_no_run_before_it(self):
+        """Guards against a sound task that is blamed for a later crash.
+
+        Its upstream left as announced, and the next incarnation crashes before
+        the end of the run is known.
+        """
+        self.submit(step())
+        self.report("a")
+        self.place("a")
+        self.report("a", leaving=True)
+        self.restart("a")
+        self.now_ms += 500
+        self.restart("a")
+        self.assertEqual([], self.crashes())
+
+    def test_crash_counts_for_no_run_placed_on_an_earlier_incarnation(self):
+        """Guards against a crash under a run that never began.
+
+        Its placement is committed after the report of the next incarnation,
+        so it is never started.
+        """
+        self.submit(step())
+        self.report("a")
+        self.restart("a")
+        self.incarnation_by_name["a"] = 1
+        self.place("a")
+        self.incarnation_by_name["a"] = 2
+        self.now_ms += 500
+        self.restart("a")
+        self.assertEqual([], self.crashes())
+
+    def test_silent_successor_still_shows_how_a_run_ended(self):
+        """Guards against the same blame once the successor was removed."""
+        self.submit(step())
+        self.report("a")
+        self.place("a")
+        self.report("a", leaving=True)
+        self.restart("a")
+        self.store.execute(ForgetUpstreams(("a-2",)))
+        self.end()
+        self.restore()
+        self.now_ms += 500
+        self.restart("a")
+        self.assertEqual([], self.crashes())
+
+    def test_restarts_under_one_identifier_count_once_each(self):
+        """Guards against one crash that counts twice under the identifier."""
+        record = self.submit(step())
+        key = UnitKey(JOB_ID, 0, 0, 0)
+        self.store.execute(NoteUpstreams((report("u1"),), self.now_ms))
+        seats = (Seat(0, "u1", 1, "u1:80", "z1"),)
+        self.store.execute(PlaceRuns((Placement(key, 1, seats),), self.now_ms))
+        for incarnation in (2, 3, 4):
+            self.now_ms += 500
+            restarted = report("u1", incarnation=incarnation)
+            self.store.execute(NoteUpstreams((restarted,), self.now_ms))
+        crashes = record.units[key].crashes
+        self.assertEqual([1], [crash.incarnation for crash in crashes])
+
     def test_crashes_that_look_like_outages_end_a_job_in_time(self):
         """Guards against endless starts of a task that seems excused.
 
