Give a new incarnation of an upstream a lease of its own

An upstream that registers after a restart, shortly before the lease of its earlier incarnation expires, is marked as lost for the silence of that one if its first heartbeat is not recorded before, and its new attempts are stopped. `GET /dump` shows the busy slots that the earlier incarnation reported.

Cause: the leader kept the time of the last heartbeat and the usage by identifier, and began a lease with a registration only if it knew none. The heartbeat that a registration contains closes the gap only if the result of the commit reaches the process that proposed it in time.

Change: a lease names its incarnation. The registration of another one begins a whole lease and drops the usage.

Evidence: two new tests of `test.daemon.test_upstreams`, both failed before: the new incarnation was lost 0.1 s before the end of its own lease, and the usage was shown.

--- a/packages/daemon/src/persimmonyard/daemon/control/upstreams.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import heapq
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from persimmonyard.daemon.control.replicated_state import ReplicatedState
@@ -26,6 +27,14 @@
     measured_at: float
 
 
+@dataclass(slots=True)
+class _Lease:
+    """The lease of one incarnation, from its last heartbeat on."""
+
+    incarnation: str
+    heartbeat_at: float
+
+
 class UpstreamController:
     """Mark upstreams as lost when their lease has expired.
 
@@ -44,30 +53,36 @@
     def on_leadership_gained(self) -> None:
         """Grant every upstream one lease, with the clock margin, from now."""
         self.on_leadership_lost()
-        for (
-            upstream_id,
-            record,
-        ) in self._replicated_state.machine.upstream_by_id.items():
+        for record in self._replicated_state.machine.upstream_by_id.values():
             if record.status != UpstreamStatus.LOST:
-                self._start_lease(upstream_id, self._replicated_state.clock())
+                self._start_lease(record, self._replicated_state.clock())
 
     def on_leadership_lost(self) -> None:
         """Discard all heartbeats and deadlines."""
-        self._last_heartbeat_at_by_id: dict[str, float] = {}
+        self._lease_by_id: dict[str, _Lease] = {}
         self._usage_by_id: dict[str, _Usage] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._recovered_ids: set[str] = set()
 
     def on_changes(self, changes: list[ChangeEvent]) -> None:
-        """Start the lease of upstreams that have registered."""
+        """Start the lease of upstreams that have registered or restarted."""
         for change in changes:
             if change.kind != ChangeKind.UPSTREAM:
                 continue
             record = self._replicated_state.machine.upstream_by_id.get(change.item_id)
             if record is None or record.status == UpstreamStatus.LOST:
                 continue
-            if change.item_id not in self._last_heartbeat_at_by_id:
-                self._start_lease(change.item_id, self._replicated_state.clock())
+            lease = self._lease_by_id.get(change.item_id)
+            incarnation = record.spec.incarnation
+            if lease is not None and lease.incarnation == incarnation:
+                continue
+            self._usage_by_id.pop(change.item_id, None)
+            now = self._replicated_state.clock()
+            if lease is None:
+                self._start_lease(record, now)
+                continue
+            # The deadline in the heap stays, as with a heartbeat.
+            self._lease_by_id[change.item_id] = _Lease(incarnation, now)
 
     def record_heartbeats(self, heartbeats: tuple[UpstreamHeartbeat, ...]) -> None:
         """Record heartbeats of the current incarnations of known upstreams."""
@@ -90,14 +105,18 @@
             if heartbeat_at > self._replicated_state.clock() - UPSTREAM_LEASE_S:
                 self._recovered_ids.add(upstream_id)
             return
-        previous = self._last_heartbeat_at_by_id.get(upstream_id)
-        if previous is None:
-            self._start_lease(upstream_id, heartbeat_at)
+        lease = self._lease_by_id.get(upstream_id)
+        if lease is None:
+            self._start_lease(record, heartbeat_at)
             return
-        self._last_heartbeat_at_by_id[upstream_id] = max(previous, heartbeat_at)
+        lease.heartbeat_at = max(lease.heartbeat_at, heartbeat_at)
+
+    def _start_lease(self, record: UpstreamRecord, heartbeat_at: float) -> None:
+        spec = record.spec
+        self._lease_by_id[spec.upstream_id] = _Lease(spec.incarnation, heartbeat_at)
+        self._push_deadline(spec.upstream_id, heartbeat_at)
 
-    def _start_lease(self, upstream_id: str, heartbeat_at: float) -> None:
-        self._last_heartbeat_at_by_id[upstream_id] = heartbeat_at
+    def _push_deadline(self, upstream_id: str, heartbeat_at: float) -> None:
         heapq.heappush(
             self._deadlines, (heartbeat_at + LEASE_WITH_MARGIN_S, upstream_id)
         )
@@ -106,8 +125,8 @@
         """Return heartbeat ages and reported usage for the state dump."""
         now = self._replicated_state.clock()
         age_by_id = {}
-        for upstream_id, heartbeat_at in self._last_heartbeat_at_by_id.items():
-            age_by_id[upstream_id] = round(now - heartbeat_at, 2)
+        for upstream_id, lease in self._lease_by_id.items():
+            age_by_id[upstream_id] = round(now - lease.heartbeat_at, 2)
         usage_by_id = {}
         for upstream_id, usage in self._usage_by_id.items():
             usage_by_id[upstream_id] = {
@@ -132,11 +151,11 @@
         expired = []
         while self._deadlines and self._deadlines[0][0] < now:
             _, upstream_id = heapq.heappop(self._deadlines)
-            heartbeat_at = self._last_heartbeat_at_by_id[upstream_id]
+            heartbeat_at = self._lease_by_id[upstream_id].heartbeat_at
             if heartbeat_at + LEASE_WITH_MARGIN_S >= now:
-                self._start_lease(upstream_id, heartbeat_at)
+                self._push_deadline(upstream_id, heartbeat_at)
                 continue
-            del self._last_heartbeat_at_by_id[upstream_id]
+            del self._lease_by_id[upstream_id]
             self._usage_by_id.pop(upstream_id, None)
             record = self._replicated_state.machine.upstream_by_id.get(upstream_id)
             if record is not None and record.status != UpstreamStatus.LOST:
@@ -157,7 +176,7 @@
         except PersimmonyardError as error:
             self._logger.warning("loss of upstream not committed", error=str(error))
             self._start_lease(
-                upstream_id, self._replicated_state.clock() - LEASE_WITH_MARGIN_S
+                record, self._replicated_state.clock() - LEASE_WITH_MARGIN_S
             )
 
     async def _restore_recovered(self) -> None:
--- a/test/daemon/test_upstreams.py
+++ b/test/daemon/test_upstreams.py
@@ -1,12 +1,14 @@
 """Tests of persimmonyard.daemon.control.upstreams."""
 
 import unittest
+from dataclasses import replace
 
 from persimmonyard.daemon.control.upstreams import UpstreamController
 from persimmonyard.daemon.timing import CLOCK_DRIFT_FACTOR, UPSTREAM_LEASE_S
+from persimmonyard.state.commands import RegisterUpstream
 from persimmonyard.state.records import UpstreamStatus
 from persimmonyard.wire import UpstreamHeartbeat
-from test.daemon.control_fakes import FakeControl
+from test.daemon.control_fakes import UPSTREAM_SPEC, FakeControl
 
 LEASE_WITH_MARGIN_S = UPSTREAM_LEASE_S * CLOCK_DRIFT_FACTOR
 
@@ -71,6 +73,29 @@
         self.record_heartbeat(incarnation="earlier")
         self.assertEqual(await self.run_liveness_check(), UpstreamStatus.LOST)
 
+    def restart(self):
+        """Commit the registration of the upstream's next incarnation."""
+        spec = replace(UPSTREAM_SPEC, incarnation="b")
+        self.control.apply_command(RegisterUpstream(spec))
+
+    async def test_silence_before_a_restart_counts_for_no_new_incarnation(self):
+        """A restarted upstream must get a whole lease from its registration.
+
+        The earlier incarnation has been silent for nearly its whole lease.
+        """
+        self.control.now += LEASE_WITH_MARGIN_S - 0.1
+        self.restart()
+        self.control.now += LEASE_WITH_MARGIN_S - 0.1
+        self.assertEqual(await self.run_liveness_check(), UpstreamStatus.UP)
+        self.control.now += 0.2
+        self.assertEqual(await self.run_liveness_check(), UpstreamStatus.LOST)
+
+    async def test_usage_of_an_earlier_incarnation_is_not_shown(self):
+        """Operators must not see tasks that ended with a crash as running."""
+        self.upstreams.record_heartbeats((UpstreamHeartbeat("up-1", "a", 1.0, 3, 5.0),))
+        self.restart()
+        self.assertEqual({}, self.upstreams.dump()["usage_by_id"])
+
     async def test_lost_upstream_recovers_with_the_next_heartbeat(self):
         """An upstream must recover by itself after a network partition."""
         self.control.now += LEASE_WITH_MARGIN_S + 0.1
