Keep the lease of an upstream that returns while its loss is committed

If the commit of the loss of an upstream fails, for example since there is no quorum in time, and the upstream has restarted or was heard from meanwhile, it is marked as lost half a second later all the same. The second deadline that it has in the heap from then on raises KeyError in the liveness loop once the upstream is gone, which also drops the losses that were found in the same round.

Cause: after a failed commit, the expired lease was put back without a look at one that began during the commit.

Change: a lease that began meanwhile stays.

Evidence: two new tests of `test.daemon.test_upstreams` failed before (lost instead of up); a third one shows that the loss of a dead upstream is still committed again. The KeyError is by reading; the tests check that there is one deadline.

--- a/packages/daemon/src/persimmonyard/daemon/control/upstreams.py
+++ b/packages/daemon/src/persimmonyard/daemon/control/upstreams.py
@@ -175,6 +175,9 @@
             await self._replicated_state.commit(command)
         except PersimmonyardError as error:
             self._logger.warning("loss of upstream not committed", error=str(error))
+            if upstream_id in self._lease_by_id:
+                # It has restarted or was heard from meanwhile.
+                return
             self._start_lease(
                 record, self._replicated_state.clock() - LEASE_WITH_MARGIN_S
             )
--- a/test/daemon/test_upstreams.py
+++ b/test/daemon/test_upstreams.py
@@ -2,9 +2,11 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from persimmonyard.daemon.control.upstreams import UpstreamController
 from persimmonyard.daemon.timing import CLOCK_DRIFT_FACTOR, UPSTREAM_LEASE_S
+from persimmonyard.model import PersimmonyardError, ResultCode
 from persimmonyard.state.commands import RegisterUpstream
 from persimmonyard.state.records import UpstreamStatus
 from persimmonyard.wire import UpstreamHeartbeat
@@ -96,6 +98,40 @@
         self.restart()
         self.assertEqual({}, self.upstreams.dump()["usage_by_id"])
 
+    async def fail_to_commit_the_loss(self, meanwhile):
+        """Let a lease expire; the commit of the loss fails after a change."""
+
+        async def propose(entry):
+            meanwhile()
+            raise PersimmonyardError(ResultCode.TIMEOUT, "no quorum in time")
+
+        self.control.now += LEASE_WITH_MARGIN_S + 0.1
+        with mock.patch.object(self.control.replica, "propose", propose):
+            await self.run_liveness_check()
+
+    async def test_failed_commit_of_a_loss_counts_for_no_new_incarnation(self):
+        """A restarted upstream must not be lost for its predecessor's silence.
+
+        It registers while the loss of its earlier incarnation is committed.
+        """
+        await self.fail_to_commit_the_loss(self.restart)
+        self.control.now += 0.1
+        self.assertEqual(await self.run_liveness_check(), UpstreamStatus.UP)
+        self.assertEqual(1, len(self.upstreams._deadlines))
+
+    async def test_heartbeat_during_a_failed_commit_of_a_loss_counts(self):
+        """An upstream that is heard again must not be lost all the same."""
+        await self.fail_to_commit_the_loss(self.record_heartbeat)
+        self.control.now += 0.1
+        self.assertEqual(await self.run_liveness_check(), UpstreamStatus.UP)
+        self.assertEqual(1, len(self.upstreams._deadlines))
+
+    async def test_loss_is_committed_again_after_a_failure(self):
+        """A dead upstream must be lost although a commit has failed."""
+        await self.fail_to_commit_the_loss(lambda: None)
+        self.control.now += 0.1
+        self.assertEqual(await self.run_liveness_check(), UpstreamStatus.LOST)
+
     async def test_lost_upstream_recovers_with_the_next_heartbeat(self):
         """An upstream must recover by itself after a network partition."""
         self.control.now += LEASE_WITH_MARGIN_S + 0.1
