Accept an upstream again that a late registration has replaced

An upstream announces itself while there is no leader; the entry keeps the registration for up to 10 s, also if the upstream crashes meanwhile. It restarts and registers through another entry. If the earlier registration is committed last, it replaces the present incarnation, whose attempts are stopped.

Cause: incarnations have no order, so the one that was committed last counted as the newest for good.

Change: a registration that comes once the newest incarnation is lost, 11 s after its last heartbeat, is not a delayed one, so it is accepted. That the upstream is unused until then remains.

Evidence: the new test of `test.state.test_upstream_commands` got 403 instead of 0 before; all 66 of test/state pass.

--- a/packages/state/src/persimmonyard/state/upstream_commands.py
+++ b/packages/state/src/persimmonyard/state/upstream_commands.py
@@ -20,7 +20,9 @@
 
 # A delayed registration of one of these incarnations is rejected.  Older ones
 # cannot be in flight any more: an entry stops resending a command after a few
-# seconds, in which an upstream does not restart this often.
+# seconds, in which an upstream does not restart this often.  For the same
+# reason one that comes once the newest incarnation is lost is not delayed:
+# that one was an earlier incarnation, whose own registration was delayed.
 MAX_PAST_INCARNATIONS = 4
 
 
@@ -37,7 +39,10 @@
         upstream.spec = spec
         if upstream.status == UpstreamStatus.LOST:
             store.recover_upstream(upstream, upstream.before_loss or UpstreamStatus.UP)
-    elif spec.incarnation in upstream.past_incarnations:
+    elif (
+        spec.incarnation in upstream.past_incarnations
+        and upstream.status != UpstreamStatus.LOST
+    ):
         return CommandResult.failed(
             ResultCode.NOT_FOUND, "a newer start of the upstream is known"
         )
@@ -46,12 +51,15 @@
             record_crash(store, upstream)
         store.lost_request_ids_by_upstream.pop(spec.upstream_id, None)
         store.recover_upstream(upstream, UpstreamStatus.UP)
-        past = (*upstream.past_incarnations, upstream.spec.incarnation)
+        past = []
+        for incarnation in (*upstream.past_incarnations, upstream.spec.incarnation):
+            if incarnation != spec.incarnation:
+                past.append(incarnation)
         store.count_upstream(upstream.spec, -1)
         store.count_upstream(spec, 1)
         store.contents.upstream_by_id[spec.upstream_id] = UpstreamRecord(
             spec,
-            past_incarnations=past[-MAX_PAST_INCARNATIONS:],
+            past_incarnations=tuple(past[-MAX_PAST_INCARNATIONS:]),
             crashed_at=upstream.crashed_at,
         )
         _stop_attempts_on(store, spec.upstream_id, "restarted")
--- a/test/state/test_upstream_commands.py
+++ b/test/state/test_upstream_commands.py
@@ -25,7 +25,11 @@
 
     def set_status(self, status):
         """Change the status of the first upstream."""
-        return self.fixture.run(SetUpstreamStatus("up-0", "a", status))
+        return self.set_status_of("a", status)
+
+    def set_status_of(self, incarnation, status):
+        """Change the status of an incarnation of the first upstream."""
+        return self.fixture.run(SetUpstreamStatus("up-0", incarnation, status))
 
     def register(self, incarnation):
         """Register the first upstream under an incarnation."""
@@ -43,6 +47,23 @@
         self.assertEqual(self.register("a").code, ResultCode.NOT_FOUND)
         self.assertEqual(attempt.state, AttemptState.STARTED)
 
+    def test_upstream_returns_after_a_late_registration_has_replaced_it(self):
+        """An upstream at work must not be refused until it starts again.
+
+        Its earlier incarnation announced itself while there was no leader, at
+        another entry, and that registration is committed after its own.
+        """
+        self.register("later")
+        self.register("earlier")
+        self.assertEqual(self.register("later").code, ResultCode.NOT_FOUND)
+        self.set_status_of("earlier", UpstreamStatus.LOST)
+        self.assertEqual(self.register("later").code, 0)
+        record = self.upstream_by_id["up-0"]
+        self.assertEqual(record.status, UpstreamStatus.UP)
+        self.assertEqual(record.spec.incarnation, "later")
+        self.assertEqual(record.past_incarnations, ("a", "earlier"))
+        self.assertEqual(self.register("earlier").code, ResultCode.NOT_FOUND)
+
     def test_status_is_kept_over_loss_and_registration(self):
         """A loss must not bring a leaving or quarantined upstream back up."""
         for status in (UpstreamStatus.QUARANTINED, UpstreamStatus.LEAVING):
