Refuse a stand-in's renewals that wait over its restart

A renewal waits at a stand-in upstream for up to 3 s. If the stand-in loses its tasks meanwhile (`forget`), the answer is that of the next incarnation to a call for the earlier one: the tasks are unknown, without the code 703 that the protocol demands.

Cause: the loop that waits asked the task table of the present incarnation, which checks the incarnation of the call only when it arrives.

Change: a renewal that waited over a restart gets the refusal of the new incarnation.

Only the stand-in is affected; a real restart ends the connection.

--- a/packages/standin/src/persimmonyard/standin/upstream.py
+++ b/packages/standin/src/persimmonyard/standin/upstream.py
@@ -157,7 +157,8 @@
         sent after at most ``wait_s`` seconds.
         """
         deadline = time.monotonic() + body["wait_s"]
-        reply = self.tasks.renew(body)
+        tasks = self.tasks
+        reply = tasks.renew(body)
         while "tasks" in reply:
             for item, status in zip(body["tasks"], reply["tasks"], strict=True):
                 if item["known_state"] != status["state"] or "code" in status:
@@ -165,9 +166,12 @@
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0:
                 break
-            next_end = self.tasks.seconds_to_next_end() or RENEWAL_POLL_S
+            next_end = tasks.seconds_to_next_end() or RENEWAL_POLL_S
             await asyncio.sleep(min(remaining_s, RENEWAL_POLL_S, next_end + 0.001))
-            reply = self.tasks.statuses(body)
+            if tasks is not self.tasks:
+                # The new incarnation refuses the call.
+                return self.tasks.renew(body)
+            reply = tasks.statuses(body)
         return reply
 
     def _set_behaviour(self, body: dict[str, Any]) -> None:
