Show that calls for another incarnation change nothing at a stand-in

Only `stop` was tested. Each call of the protocol is sent for another incarnation now, for a running, a finished and an unknown task, and is refused without an effect. No fault was found; no code was changed.

--- a/test/standin/test_tasks.py
+++ b/test/standin/test_tasks.py
@@ -93,6 +93,46 @@
         self.assertEqual(reply["code"], ResultCode.UNKNOWN_ATTEMPT)
         self.assertEqual(self.state(), ("running", True))
 
+    def test_calls_for_another_incarnation_change_nothing(self):
+        """Guards against a call of any kind that acts on the next incarnation.
+
+        A running task keeps its lease and its rate, an answer is kept, and no
+        fence is noted.
+        """
+        self.call("prepare", attempt="done.1")
+        self.call("start", attempt="done.1", run_s=1.0)
+        self.now += 2.0
+        self.start()
+        calls = (
+            "prepare", "start", "checkpoint", "throttle", "stop", "result",
+            "acknowledge",
+        )  # fmt: skip
+        for call in calls:
+            for attempt in ("r.1", "done.1", "new.1"):
+                reply = self.call(
+                    call, fence=9, attempt=attempt, rate=0.1, incarnation="b"
+                )
+                self.assertEqual(reply["code"], ResultCode.UNKNOWN_ATTEMPT)
+        self.now += LEASE_S - 8.0
+        task = {"attempt": "r.1", "member": 0, "fence": 9}
+        body = {"incarnation": "b", "lease_s": 100.0, "tasks": [task]}
+        self.assertEqual(self.table.renew(body)["code"], ResultCode.UNKNOWN_ATTEMPT)
+        self.assertAlmostEqual(self.table.seconds_to_next_end(), 3.0)
+        self.assertEqual(self.call("result", attempt="done.1")["attempt"], "done.1")
+        self.assertEqual(self.call("prepare", attempt="new.1")["state"], "prepared")
+        self.assertEqual(self.call("stop")["state"], "stopped")
+        self.assertEqual(len(self.table.starts), 2)
+
+    def test_renewal_for_another_incarnation_extends_no_lease(self):
+        """Guards against a task that runs on although no entry renews it."""
+        self.call("prepare")
+        self.call("start", run_s=100.0)
+        self.now += LEASE_S - 1
+        task = {"attempt": "r.1", "member": 0, "fence": 1}
+        self.table.renew({"incarnation": "b", "lease_s": LEASE_S, "tasks": [task]})
+        self.now += 2
+        self.assertEqual(self.state(), ("stopped", True))
+
     def test_task_without_renewals_ends_with_its_lease(self):
         """Guards against a task that runs on after its lease has expired.
 
