Show that entries attribute answers to the incarnation that they called

No test showed what an entry does with a refusal of the next incarnation, with answers that arrive after its announcement, with two incarnations at one address, and with a registration that is overtaken by that of the next one; nor that each call names the incarnation of its member, beyond the presence of the field. All new tests passed at once; no code was changed.

--- a/test/daemon/test_api.py
+++ b/test/daemon/test_api.py
@@ -541,6 +541,28 @@
                 beat = self.entry.state.make_beat("e", "z", 1, False)
                 self.assertIsNone(beat.heartbeats[0].usage_age_s)
 
+    async def test_late_registration_takes_nothing_from_the_next_incarnation(self):
+        """Guards against an upstream that restarted and is not registered.
+
+        The registration of its earlier incarnation is under way while the next
+        one announces itself, and its result arrives last.
+        """
+        committed = asyncio.Event()
+        self.entry.leader.before_result = committed.wait
+        late = asyncio.create_task(self.announce())
+        async with asyncio.timeout(10.0):
+            while not self.entry.leader.commands:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.entry.leader.before_result = None
+        self.assertLess((await self.announce(incarnation="b")).status_code, 300)
+        committed.set()
+        await late
+        self.assertLess((await self.announce(incarnation="b")).status_code, 300)
+        beat = self.entry.state.make_beat("e", "z", 1, False)
+        self.assertEqual(["b"], [sent.incarnation for sent in beat.heartbeats])
+        upstream = self.entry.leader.machine.upstream_by_id["up-1"]
+        self.assertEqual("b", upstream.spec.incarnation)
+
     async def test_heartbeat_sends_no_command(self):
         """Guards against one command per heartbeat.
 
--- a/test/daemon/test_dispatch.py
+++ b/test/daemon/test_dispatch.py
@@ -206,6 +206,40 @@
         core.step(MembersSilent((0,)), 0.02)
         self.assertEqual((), self.lost_report(core, 1.0).silences)
 
+    def test_late_answers_of_a_lost_member_change_nothing(self):
+        """Guards against an answer that counts for the next incarnation.
+
+        The announcement of that one arrives while calls to the earlier one
+        are under way.  The lost member is called no more, whatever they say.
+        """
+        core = self.running_core(2)
+        actions = core.step(StopOrdered(with_lost_member(core.order)), 1.0)
+        self.assertEqual([CallUpstream("stop", 1)], actions)
+        running = make_status(0, "running")
+        for event in (
+            MembersRenewed(0.9, (running, make_status(1, "running"))),
+            MembersSilent((0,)),
+            CallAnswered("start", 0, 0.9, running),
+            CallFailed("start", 0),
+            AnswerFetched(0, TaskAnswer(b"a", "d")),
+        ):
+            self.assertEqual([], core.step(event, 1.1))
+        report = self.end_report(self.answer_call(core, "stop", 1, "finished"))
+        self.assertEqual(AttemptOutcome.LOST, report.outcome)
+        self.assertEqual((0,), report.failed_members)
+        for call in ("start", "stop"):
+            self.assertEqual([], self.answer_call(core, call, 0, "finished"))
+
+    def test_refusal_of_the_next_incarnation_is_no_sign_of_life(self):
+        """Guards against a crash that seems to follow later than it did."""
+        core = self.running_core()
+        core.step(MembersSilent((0,)), 0.3)
+        refused = int(ResultCode.UNKNOWN_ATTEMPT)
+        status = TaskStatus("r.1", 0, code=refused)
+        report = self.end_report(core.step(MembersRenewed(0.5, (status,)), 0.6))
+        self.assertEqual(AttemptOutcome.LOST, report.outcome)
+        self.assertEqual((MemberSilence(0, 300),), report.silences)
+
     def test_failed_member_stops_the_others(self):
         """Guards against a gang that goes on after a member has failed.
 
@@ -311,6 +345,8 @@
     def __init__(self):
         self.sent_calls = []
         self.renewals = []
+        self.targets = []
+        self.error_by_incarnation = {}
         self.interrupted_renewals = 0
         self.error_by_call = {}
 
@@ -323,6 +359,9 @@
 
     async def renew(self, target, tasks, wait_s):
         self.renewals.append([task["attempt"] for task in tasks])
+        self.targets.append(target)
+        if target.incarnation in self.error_by_incarnation:
+            raise self.error_by_incarnation[target.incarnation]
         if "renew" in self.error_by_call:
             raise self.error_by_call["renew"]
         try:
@@ -398,6 +437,34 @@
         await self.wait_until(lambda: self.task_client.renewals[-1] == ["r.1", "s.1"])
         self.assertEqual(self.task_client.interrupted_renewals, 1)
 
+    async def test_refused_renewal_ends_no_attempt_on_the_next_incarnation(self):
+        """Guards against a failure that counts for the next incarnation.
+
+        Both are at the same address, and attempts on both are renewed at the
+        same time.
+        """
+        earlier = make_order(action=DispatchAction.ADOPT)
+        member = msgspec.structs.replace(earlier.members[0], incarnation="b")
+        later = msgspec.structs.replace(earlier, request_id="s", members=(member,))
+        self.dispatcher.handle_order(earlier)
+        self.dispatcher.handle_order(later)
+        await self.wait_until(lambda: len(self.task_client.targets) > 1)
+        for attempts, target in zip(
+            self.task_client.renewals, self.task_client.targets, strict=True
+        ):
+            expected = {"a": ["r.1"], "b": ["s.1"]}[target.incarnation]
+            self.assertEqual(expected, attempts)
+        refusal = PersimmonyardError(ResultCode.UNKNOWN_ATTEMPT, "another incarnation")
+        self.task_client.error_by_incarnation["a"] = refusal
+        await self.wait_until(lambda: self.commands)
+        [report] = self.commands
+        self.assertEqual("r", report.request_id)
+        self.assertEqual(AttemptOutcome.LOST, report.outcome)
+        renewals = len(self.task_client.renewals)
+        await self.wait_until(lambda: len(self.task_client.renewals) > renewals)
+        self.assertEqual(["s.1"], self.task_client.renewals[-1])
+        self.assertEqual(1, len(self.commands))
+
     async def run_until_lost(self):
         """Run an attempt whose upstream does not answer; return the report."""
         self.dispatcher.handle_order(make_order())
--- a/test/daemon/test_task_client.py
+++ b/test/daemon/test_task_client.py
@@ -18,6 +18,7 @@
     TaskClient,
     UpstreamUnreachableError,
     decode_answer,
+    task_call_body,
 )
 from persimmonyard.daemon.http_server import HttpServer
 from persimmonyard.model import PersimmonyardError, ResultCode
@@ -156,6 +157,38 @@
         self.assertEqual(unused_paths, {"/v1/tasks/throttle"})
         self.assertTrue(self.exchanges[-1][1]["leaving"])
 
+    def test_each_call_names_the_incarnation_of_its_member(self):
+        """Guards against a call that acts on the next incarnation."""
+        members = []
+        for incarnation in ("a", "b"):
+            members.append(DispatchMember("up-1", incarnation, "z1", "127.0.0.1:1"))
+        order = DispatchOrder(
+            "r", 1, 1, DispatchAction.RUN, tuple(members), 1, 1, 1, 1.0, True, b"scan"
+        )
+        calls = ("prepare", "start", "checkpoint", "stop", "result", "acknowledge")
+        for call in calls:
+            for member, incarnation in enumerate(("a", "b")):
+                body = task_call_body(call, order, member)
+                self.assertEqual(incarnation, body["incarnation"])
+
+    async def test_calls_for_an_earlier_incarnation_are_refused(self):
+        """Guards against an entry that takes such a refusal for an answer."""
+        order = self.make_order()
+        await self.client.call_task("prepare", order, 0)
+        self.upstream._set_behaviour({"forget": True})
+        task = {"attempt": "r.1", "member": 0, "fence": 1, "known_state": "running"}
+        refused = [
+            self.client.renew(order.members[0], [task], 0.0),
+            self.client.fetch_answer(order, 0),
+        ]
+        for call in ("prepare", "start", "checkpoint", "stop", "acknowledge"):
+            refused.append(self.client.call_task(call, order, 0))
+        for call in refused:
+            with self.assertRaises(PersimmonyardError) as caught:
+                await call
+            self.assertEqual(ResultCode.UNKNOWN_ATTEMPT, caught.exception.code)
+        self.assertEqual([], self.upstream.tasks.starts)
+
     async def test_refused_connection_is_told_from_a_lost_answer(self):
         """A call that found no listener has no effect."""
         order = self.make_order()
