Learn no run time from a run on an earlier incarnation

If an upstream restarts while the end of a run there is committed, the run time is learned at the speed of the new incarnation, which is not known and counts as 1.0. A run that took 4 s on an upstream of half the speed counts as one of 4 s instead of 2 s at reference speed.

Cause: `work_s` looks up the speed when the end is applied, and the report of the new incarnation has made the model forget that of the earlier one.

Change: a run whose upstream has been replaced gives no run time. For a gang this covers the member that ends first, by whose end the run time is learned, but not another member whose upstream restarts in that moment.

Evidence: `test_run_time_of_an_earlier_incarnation_is_not_scaled` got an observation before, and still gets one without a restart.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/progress_observer.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/progress_observer.py
@@ -104,9 +104,10 @@
 
         The result is in seconds.  A gang takes as long as its slowest member,
         so it is that of the whole gang, for the first member that ends.
-        Returns None if the run time is not known.
+        Returns None if the run time is not known.  That of a run on an earlier
+        incarnation is not: the speed is that of the present one.
         """
-        if task_run.step.long_running:
+        if task_run.step.long_running or task_run.replaced:
             return None
         if not task_run.step.gang:
             began_at = task_run.work_began_at
