Show which estimates of an incarnation count for the next one

Failures of tasks do count for the next incarnation, unlike the time for which an upstream is avoided. This is as in the scheduler of the request interface, where the reason is written down: an upstream that restarts after each failure is still detected. The comment of `UpstreamHealth` says so now.

--- a/packages/jobs/src/persimmonyard/jobs/health.py
+++ b/packages/jobs/src/persimmonyard/jobs/health.py
@@ -22,7 +22,9 @@
     """Counts consecutive failures for each upstream.
 
     Once the threshold is reached, the upstream is avoided for longer after
-    each further failure.  One success resets the count.
+    each further failure.  One success resets the count.  Failures are counted
+    by identifier and not by incarnation, so that an upstream that restarts
+    after each failure is still detected.
     """
 
     def __init__(self) -> None:
--- a/test/daemon/jobs/test_interference.py
+++ b/test/daemon/jobs/test_interference.py
@@ -29,6 +29,7 @@
         self.progress_by_key = {}
         self.ended = []
         self.speed = 1.0
+        self.incarnation = 1
         self.count = 0
 
     def add(self, kind, rate=10.0, progress=0.001, **fields):
@@ -70,7 +71,7 @@
         running = []
         for key, (progress, _) in self.progress_by_key.items():
             running.append(RunningRun(*key, "", int(progress)))
-        listing = RunListing(0, 1, tuple(running), tuple(self.ended))
+        listing = RunListing(0, self.incarnation, tuple(running), tuple(self.ended))
         self.monitor.observe_listing(self.session, listing, now)
         for ended in self.ended:
             key = (ended.task_key, ended.run)
@@ -250,6 +251,23 @@
         self.poll(upstreams, 2.0)
         self.assertEqual(set(), self.known())
 
+    def test_rates_of_two_incarnations_are_not_compared(self):
+        """Guards against effects that are differences of two incarnations.
+
+        The next one is slower and has a neighbour.  It lists a run of the
+        earlier one, whose start it has executed.
+        """
+        for restarts, expected in ((False, {("a", "b")}), (True, set())):
+            self.setUp()
+
+            def arrive(upstream, restarts=restarts):
+                upstream.incarnation += restarts
+                upstream.speed = 0.5
+                upstream.add("b", 2.0)
+
+            known = self.change_neighbour(self.upstreams(6), arrive)
+            self.assertEqual(expected, known)
+
     def test_watched_upstreams_are_bounded(self):
         """Guards against memory that grows with the upstreams."""
         upstreams = self.upstreams(1_100)
