Let the end of a run on a former incarnation say nothing about the next

Cause: an end as failed that is applied after the restart of its upstream kept work off the new incarnation for 3 s and marked it as failing, and an end as done cleared the mark (measured in the test: `failing` true, avoided for 3 s).

The test of speeds in test_former_incarnations says now that the start was sent again, because a run whose only start was executed before the restart cannot be at work after it.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/draining.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/draining.py
@@ -57,7 +57,8 @@
         await asyncio.sleep(
             max(0.0, remaining_s - self._term.durations.checkpoint_lead_s)
         )
-        if session.upstream is not upstream:
+        if self._term.find_session(upstream.report.upstream_id) is not session:
+            # The upstream has ended before.
             return
         for task_run in list(session.task_run_by_key.values()):
             if task_run.step.checkpoints:
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -386,6 +386,9 @@
             state=str(record.state()) if record is not None else "unknown",
         )
         upstream = self.fleet.by_id.get(upstream_id)
+        if upstream is not None and task_run.incarnation != upstream.report.incarnation:
+            # Says nothing about the incarnation that is there now.
+            upstream = None
         if end.end == TaskEnd.DONE:
             self._health.record_success(upstream_id)
             if upstream is not None:
--- a/test/daemon/jobs/test_former_incarnations.py
+++ b/test/daemon/jobs/test_former_incarnations.py
@@ -98,6 +98,9 @@
         task_key = await self.submit()
         speeds = self.leader.term.speeds
         await wait_until(lambda: "u1" in speeds.upstream_ids())
+        session = self.leader.term.find_session("u1")
+        # Only a start that was sent again may reach the next incarnation.
+        session.task_run_by_key[(task_key, 1)].in_doubt = True
         with mock.patch.object(FakeUpstream, "stop", return_value=None):
             successor = self.restart(running={task_key: 1})
             self.assertNotIn("u1", speeds.upstream_ids())
