Stop the first run on an upstream that may forget its ends

Change: if an acknowledgement of the former incarnation got no answer within the time in which it may still be executed, the next one gets one run at a time, which is stopped as soon as it has started, until one end is listed. Numbers rise, so all later ends are listed as well. If the end is not listed, the run is placed again: it was stopped, so it did not complete, and one number is used up. A new leader does not know what an earlier one had in flight, so it does the same with incarnations that began up to 12 s before its term.

Cost: one run of some milliseconds for each such restart. What remains: a start and an acknowledgement of former incarnations that are both executed before the first poll; a doubt that is older than 12 s at a change of leaders.

The durations of the fuzz test name the longest lease and the time of late orders, which are new.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -27,6 +27,9 @@
 # How long an upstream gets no new work after it refused a start or did not
 # answer it, in seconds.
 _REFUSAL_AVOID_S = 2.0
+# The same while the first run on an upstream is stopped to learn whether its
+# ends are listed.
+_PROBE_AVOID_S = 0.5
 
 
 class RunStarter:
@@ -88,6 +91,10 @@
                 await self._give_up_start(task_run, "upstream has shrunk")
                 return
             now = term.now()
+            if self._session.ends_in_doubt and not self._session.is_alone(task_run):
+                self._session.upstream.avoid(now + _PROBE_AVOID_S)
+                await self._give_up_start(task_run, "ends in doubt")
+                return
             task_run.sent = True
             if task_run.delivered_at is None:
                 task_run.delivered_at = now
@@ -220,6 +227,9 @@
             term.record_started(
                 task_run, self._session.upstream, now - task_run.placed_at
             )
+            if self._session.ends_in_doubt:
+                term.record_event("end_probe")
+                self._session.stop(task_run, "ends in doubt")
             return True
         term.log.info(
             "start refused",
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -47,6 +47,8 @@
 # A poll that only acknowledges ends is delayed this long, in seconds: if new
 # work arrives in that time, its poll acknowledges them as well.
 _ACKNOWLEDGE_DELAY_S = 0.3
+# Number of the last end that an earlier leader may have acknowledged.
+_UNKNOWN_END = 1 << 31
 # Age of a listing up to which its ends are acknowledged, in seconds: an
 # upstream needs longer than this to restart.
 _FRESH_LISTING_S = 0.1
@@ -65,6 +67,11 @@
     and its calls are cancelled, so that no result of theirs counts for the
     successor.  The successor may execute starts of its predecessor until it
     has answered its first poll, whose fencing token is higher.
+
+    It may also have executed an acknowledgement of its predecessor, and then
+    forgets its own ends up to that number.  Until it has listed an end, it
+    gets one run at a time, which is stopped at once: the end of such a run is
+    known without a listing.
     """
 
     def __init__(
@@ -79,6 +86,11 @@
         self.task_run_by_key: dict[tuple[TaskKey, int], TaskRun] = {}
         self._last_end_number = 0
         self._acknowledged_end = 0
+        # The highest number in an acknowledgement that may still be executed,
+        # until when, and how many ends this incarnation may forget.
+        self._unanswered_end = 0
+        self._unanswered_until = float("-inf")
+        self.ends_in_doubt = 0
         self._work_added = asyncio.Event()
         self._failed_polls = 0
         self._look_requested = False
@@ -92,6 +104,8 @@
         self._closed = False
         self.contact = UpstreamContact(upstream.report.incarnation, leader_term.now)
         self._starter = RunStarter(leader_term, self)
+        if leader_term.may_have_foreign_orders(upstream):
+            self.ends_in_doubt = _UNKNOWN_END
         if predecessor is None:
             self._begun.set()
         else:
@@ -145,8 +159,23 @@
             task_run.stop_sent = False
             self.stop(task_run, "upstream restarted")
             self.add(task_run)
+        self.ends_in_doubt = max(
+            self.ends_in_doubt, predecessor.acknowledgement_in_doubt()
+        )
         self.request_look()
 
+    def acknowledgement_in_doubt(self) -> int:
+        """Return how many ends the next incarnation may forget.
+
+        It is the highest number in an acknowledgement that it may execute, or
+        a number that this incarnation may have executed itself.
+        """
+        now = self._term.now()
+        number = self.ends_in_doubt if not self.upstream.confirmed else 0
+        if now < self._unanswered_until:
+            number = max(number, self._unanswered_end)
+        return number
+
     async def begin(self) -> None:
         """Record the runs as lost that cannot be at work on this incarnation.
 
@@ -315,6 +344,10 @@
             and not acknowledged_end
         ):
             until_ms = upstream.grant_lease(term.durations.lease_ms, sent_at)
+        unanswered = (self._unanswered_end, self._unanswered_until)
+        if acknowledged_end:
+            self._unanswered_end = max(self._unanswered_end, acknowledged_end)
+            self._unanswered_until = sent_at + term.durations.late_order_s
         try:
             listing = await self.contact.call(
                 term.upstream_client.renew(
@@ -328,6 +361,7 @@
             await self._handle_refused_poll(listing)
             return None
         received_at = term.now()
+        self._unanswered_end, self._unanswered_until = unanswered
         self._failed_polls = 0
         if listing.incarnation != upstream.report.incarnation:
             # The upstream restarted, and its first report has not arrived.
@@ -362,6 +396,13 @@
                 found.append(run_silence)
         return found
 
+    def is_alone(self, task_run: TaskRun) -> bool:
+        """Return whether no other run may be present on the upstream."""
+        for other in self.task_run_by_key.values():
+            if other is not task_run and (other.sent or other.taken_over):
+                return False
+        return True
+
     def supervises(self, task_run: TaskRun) -> bool:
         """Return whether the end of a run is not known yet."""
         key = (task_run.task_key, task_run.run)
@@ -460,6 +501,8 @@
             )
         if ends:
             await self._term.commit_ends(ends)
+        if listing.ended:
+            self.ends_in_doubt = 0
         for ended in listing.ended:
             self._last_end_number = max(self._last_end_number, ended.number)
         self._term.stop_stalled_runs(self)
@@ -523,6 +566,8 @@
             return None
         if task_run.state == RunState.STOPPING:
             began = task_run.started_at is not None
+            if began and self.ends_in_doubt:
+                self.ends_in_doubt -= 1
             end = TaskEnd.LOST if began else TaskEnd.REJECTED
             return self.run_end(task_run, end)
         if task_run.state == RunState.RUNNING:
--- a/test/daemon/jobs/test_restart_fuzz.py
+++ b/test/daemon/jobs/test_restart_fuzz.py
@@ -50,6 +50,8 @@
     report_valid_s=2.5 * HEARTBEAT_S,
     restored_report_s=1.0,
     silent_after_s=1_000.0,
+    longest_lease_ms=LONGEST_LEASE_MS,
+    late_order_s=12.0,
 )
 # Once the faults are over, the last late call arrives and the last lease ends
 # within 22 s, and all work takes 30 s on all upstreams.
--- a/test/daemon/jobs/test_restarts.py
+++ b/test/daemon/jobs/test_restarts.py
@@ -18,12 +18,14 @@
 class HangingPolls(FakeUpstreamClient):
     """An upstream client whose polls hang while ``hanging`` is set.
 
-    Those in progress fail when ``failed`` is set.
+    Those in progress fail when ``failed`` is set.  With
+    ``lost_acknowledgements`` calls that acknowledge ends get no answer.
     """
 
     def __init__(self):
         super().__init__()
         self.hanging = False
+        self.lost_acknowledgements = None
         self.hanging_count = 0
         self.failed = asyncio.Event()
 
@@ -32,6 +34,9 @@
             self.hanging_count += 1
             await self.failed.wait()
             raise NoAnswerError("time-out")
+        if acknowledged_end and self.lost_acknowledgements is not None:
+            self.lost_acknowledgements += 1
+            raise NoAnswerError("time-out")
         return await super().renew(target, until_ms, fence, acknowledged_end, wait_ms)
 
 
@@ -127,6 +132,32 @@
         await wait_until(lambda: second.state() == JobState.COMPLETED)
         self.assertEqual(3, len(replacement.started))
 
+    async def test_acknowledgement_in_flight_makes_no_task_run_twice(self):
+        """Guards against ends that the next incarnation forgets unread.
+
+        It has executed an acknowledgement that was in flight at its start.
+        """
+        self.leader.report("u1")
+        await self.submit(FIRST, step(3))
+        await wait_until(lambda: len(self.former.started) == 3)
+        self.upstreams.lost_acknowledgements = 0
+        for task_key in list(self.former.running):
+            self.former.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: self.upstreams.lost_acknowledgements)
+        self.upstreams.lost_acknowledgements = None
+        replacement = self.restart()
+        replacement.acknowledged_end = 2
+        self.leader.report("u1", incarnation=2)
+        record = await self.submit(SECOND, step(4))
+        done = []
+        while record.state() != JobState.COMPLETED:
+            present = set(replacement.running.items())
+            await asyncio.sleep(0.2)
+            for task_key, _ in present & set(replacement.running.items()):
+                replacement.end(task_key, TaskEnd.DONE)
+                done.append(task_key)
+        self.assertEqual(4, len(done))
+
     async def test_failed_poll_of_the_former_incarnation_is_none_of_the_next(self):
         """Guards against conclusions from a call to another incarnation."""
         self.leader.report("u1")
