Restart upstreams and cut them off in the soak

The soak did not draw this class of fault. Its stand-in upstreams restarted under their identifiers, but calls that were in flight died with the process, an acknowledged number was forgotten with the poll that carried it, cuts lasted 3 s at most, and no run lasted through one.

The new fault restarts one, two or all upstreams and cuts them off 0 to 2 s later for 4 to 11 s; the weights of the other faults are as before. A tenth of the jobs has tasks of 4 to 9 s.

Checks: a start between an end as done and its acknowledgement counts, unless the lease expired in between, as the users' rules have it; failures likewise. A start after the acknowledgement counts as before, whatever the lease did.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -70,21 +70,53 @@
         events.append(event)
     for at, name in observations.kills:
         events.append({"at": at, "event": "died", "upstream": name})
-    return sorted(events, key=lambda event: event["at"])
+    events.sort(key=lambda event: event["at"])
+    for index, event in enumerate(events):
+        event["index"] = index
+    return events
+
+
+def _find_noted_ends(events: list[dict[str, Any]]) -> set[int]:
+    """Return the indexes of the ends that count from the time of the end.
+
+    They are acknowledged at some time.  If the lease of the upstream expired
+    before, the run may count as lost and its task may run again until then.
+    """
+    noted = set()
+    pending_by_incarnation: dict[UpstreamIncarnation, dict[tuple[str, int], int]]
+    pending_by_incarnation = defaultdict(dict)
+    for event in events:
+        if "born" not in event:
+            continue
+        incarnation = UpstreamIncarnation(event["upstream"], event["born"])
+        pending = pending_by_incarnation[incarnation]
+        match event["event"]:
+            case "end":
+                pending[(event["task"], event["run"])] = event["index"]
+            case "lease expired":
+                pending.clear()
+            case "acknowledged":
+                end = pending.pop((event["task"], event["run"]), None)
+                if end is not None:
+                    noted.add(end)
+    return noted
 
 
 class _ClusterState:
     """State of all upstreams and tasks, reconstructed from the events."""
 
-    def __init__(self, observations: Observations):
+    def __init__(self, observations: Observations, noted_ends: set[int]):
         self.observations = observations
+        self.noted_ends = noted_ends
         self.violations: list[str] = []
         self.incarnation_by_task: dict[TaskId, UpstreamIncarnation] = {}
         self.tasks_by_incarnation: dict[UpstreamIncarnation, set[TaskId]] = defaultdict(
             set
         )
         self.done_at: dict[TaskId, float] = {}
-        self.acknowledged_done_at: dict[TaskId, float] = {}
+        self.noted_runs: set[tuple[TaskId, UpstreamIncarnation, int]] = set()
+        self.noted_done_tasks: set[TaskId] = set()
+        self.noted_failure_count_by_task: dict[TaskId, int] = defaultdict(int)
         self.failure_count_by_task: dict[TaskId, int] = defaultdict(int)
         self.leaving_since: dict[UpstreamIncarnation, float] = {}
         self.zone_by_upstream: dict[str, str] = {}
@@ -105,7 +137,7 @@
             case "end":
                 self._end(TaskId.parse(event["task"]), incarnation, event)
             case "acknowledged":
-                self._acknowledge(TaskId.parse(event["task"]), event)
+                self._acknowledge(TaskId.parse(event["task"]), incarnation, event)
 
     def _remove_tasks_of(self, upstream: str) -> None:
         for incarnation in list(self.tasks_by_incarnation):
@@ -131,9 +163,9 @@
         current_incarnation = self.incarnation_by_task.get(task)
         if current_incarnation is not None:
             yield f"runs on {current_incarnation} already"
-        if task in self.acknowledged_done_at:
-            yield "its completion was acknowledged before"
-        if self.failure_count_by_task[task] >= MAX_ATTEMPTS:
+        if task in self.noted_done_tasks:
+            yield "has ended as done before, and this end was acknowledged"
+        if self.noted_failure_count_by_task[task] >= MAX_ATTEMPTS:
             yield "has failed too often"
         job = self.observations.job_by_id.get(task.job_id)
         if job is None:
@@ -202,12 +234,28 @@
             del self.incarnation_by_task[task]
         if event["how"] == "done":
             self.done_at.setdefault(task, event["at"])
+        if event["index"] in self.noted_ends:
+            self._note_end(task, incarnation, event)
 
-    def _acknowledge(self, task: TaskId, event: dict[str, Any]) -> None:
-        if event["how"] == "done":
-            self.acknowledged_done_at.setdefault(task, event["at"])
+    def _acknowledge(
+        self, task: TaskId, incarnation: UpstreamIncarnation, event: dict[str, Any]
+    ) -> None:
         if event["how"] == "failed":
             self.failure_count_by_task[task] += 1
+        self._note_end(task, incarnation, event)
+
+    def _note_end(
+        self, task: TaskId, incarnation: UpstreamIncarnation, event: dict[str, Any]
+    ) -> None:
+        """Count an end against later starts of the task, once."""
+        run = (task, incarnation, event["run"])
+        if run in self.noted_runs:
+            return
+        self.noted_runs.add(run)
+        if event["how"] == "done":
+            self.noted_done_tasks.add(task)
+        if event["how"] == "failed":
+            self.noted_failure_count_by_task[task] += 1
 
 
 def _job_violations(job: JobObservations, cluster: _ClusterState) -> Iterator[str]:
@@ -251,8 +299,9 @@
 
     ``lines`` are the logs of the stand-in upstreams.
     """
-    cluster = _ClusterState(observations)
-    for event in _parse_events(lines, observations):
+    events = _parse_events(lines, observations)
+    cluster = _ClusterState(observations, _find_noted_ends(events))
+    for event in events:
         cluster.apply(event)
     violations = list(cluster.violations)
     for job in observations.job_by_id.values():
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -129,8 +129,11 @@
         relay = Relay(port, target, host, port)
         self.relays_by_name.setdefault(name, []).append(relay)
 
-    def start_process(self, name: str) -> None:
-        """Start a process unless it is running."""
+    def start_process(self, name: str, dark_s: float = 0.0) -> None:
+        """Start a process unless it is running.
+
+        An upstream accepts calls and does not answer them for ``dark_s``.
+        """
         process = self.process_by_name.get(name)
         if process is not None and process.poll() is None:
             return
@@ -138,7 +141,7 @@
         paths = [str(ROOT), os.environ.get("PYTHONPATH", "")]
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, paths))}
         if name in self.upstream_names:
-            command = self._upstream_command(name)
+            command = [*self._upstream_command(name), "--dark-s", f"{dark_s:.3f}"]
         else:
             clock_offset_s = self.random.uniform(
                 -MAX_CLOCK_OFFSET_S, MAX_CLOCK_OFFSET_S
@@ -161,10 +164,15 @@
         command += ["--zone", self.zone_by_name[name], "--rack", f"r{number % 2}"]
         command += ["--seed", str(self.seed * 1_000 + self.upstream_starts)]
         command += ["--pace", f"{clock_rate:.4f}"]
+        command += ["--calls", str(self.folder / f"{name}.calls")]
+        command += ["--cut-off", str(self._cut_off_file(name))]
         for control in self.control_names:
             command += ["--control", self.control_address(control)]
         return command
 
+    def _cut_off_file(self, name: str) -> Path:
+        return self.folder / f"{name}.cut"
+
     def _write_settings(self, name: str, first_start: bool) -> None:
         control = name in self.control_names
         seeds = [
@@ -225,6 +233,27 @@
         for relay in self.relays_by_name[name]:
             relay.block(up, down)
 
+    def cut_off(self, name: str) -> None:
+        """Block calls to an upstream and keep it from sending reports."""
+        self._cut_off_file(name).touch()
+        self.block(name)
+
+    def end_cut(self, name: str) -> None:
+        """Undo ``cut_off``.
+
+        The data of the blocked connections is lost: orders that were sent
+        at the start of a long cut would be executed later than the checks
+        allow for.
+        """
+        self.reset(name)
+        self.restore(name)
+        self._cut_off_file(name).unlink(missing_ok=True)
+
+    def incarnation_count(self, name: str) -> int:
+        """Return how many incarnations of an upstream have begun."""
+        log = (self.folder / f"{name}.log").read_text(errors="replace")
+        return log.count('"event": "born"')
+
     def delay(self, name: str, seconds: float) -> None:
         """Delay the data in both directions on connections to a process."""
         for relay in self.relays_by_name[name]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,13 @@
 START_INTERVAL_S = (0.3, 2.5)
 # Range of the duration of a fault, in seconds.
 DURATION_S = (0.3, 3.0)
+# Range of the time in which a restarted upstream does not answer, of the time
+# from its first answer to its cut-off, and of the duration of the cut-off, in
+# seconds.  Leases last for up to 10 s.
+DARK_S = (0.1, 0.8)
+CUT_DELAY_S = (0.0, 2.0)
+CUT_S = (4.0, 11.0)
+RESTART_TIMEOUT_S = 20.0
 # At most this many of the five control processes have faults at a time, so
 # that a majority is left; a kill of all control processes is the exception.
 MAX_FAULTY_CONTROLS = 2
@@ -63,6 +70,7 @@
             self._wipe: 2,
             self._kill_all: 1,
             self._leave_service: 2,
+            self._restart_and_cut: 4,
         }
         fault = self._rng.choices(list(weights), list(weights.values()))[0]
         controls = [n for n in deployment.control_names if n not in self._faulty_names]
@@ -82,11 +90,15 @@
             self._refuse_writes: controls,
             self._wipe: controls if self._disk_may_be_lost() else [],
             self._leave_service: upstreams,
+            self._restart_and_cut: upstreams,
             self._terminate: [n for n in healthy if n not in upstreams],
         }
         if fault == self._kill_all:
             return fault, list(deployment.control_names) if not faulty_count else []
         candidates = candidates_by_fault.get(fault, healthy)
+        if fault == self._restart_and_cut and candidates:
+            count = self._rng.choice((1, 2, len(candidates)))
+            return fault, self._rng.sample(candidates, min(count, len(candidates)))
         return fault, [self._rng.choice(candidates)] if candidates else []
 
     def _disk_may_be_lost(self) -> bool:
@@ -172,3 +184,18 @@
         self._deployment.send_signal(name, signal.SIGUSR1)
         await self._wait_exit(name)
         await self._wait_duration()
+
+    async def _restart_and_cut(self, name: str) -> None:
+        deployment = self._deployment
+        incarnations = deployment.incarnation_count(name)
+        deployment.kill(name)
+        deployment.start_process(name, self._rng.uniform(*DARK_S))
+        async with asyncio.timeout(RESTART_TIMEOUT_S):
+            while deployment.incarnation_count(name) == incarnations:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(self._rng.uniform(*CUT_DELAY_S))
+        self._log_fault(f"cut {name}")
+        deployment.cut_off(name)
+        await asyncio.sleep(self._rng.uniform(*CUT_S))
+        deployment.end_cut(name)
+        self._log_fault(f"cut ended {name}")
--- a/soak/workload.py
+++ b/soak/workload.py
@@ -26,6 +26,12 @@
 ZONE_OUT_S = 7.0
 MAX_TRIES = 5
 CANCEL_PROBABILITY = 0.1
+# Share of jobs with long tasks, whose runs last through restarts and cuts, and
+# the range of their work in seconds.  They have one step that needs little
+# room, so that all jobs can end in time.
+LONG_PROBABILITY = 0.1
+LONG_WORK_S = (4.0, 9.0)
+WORK_S = (0.2, 2.0)
 CALLER_COUNT = 3
 # Time for all jobs to end after the last fault, in seconds.
 COMPLETION_TIMEOUT_S = 60.0
@@ -83,11 +89,16 @@
 
     async def _submit_job(self) -> None:
         rng = self._rng
-        steps = [self._random_step(number) for number in range(rng.choice((1, 1, 2)))]
+        long = rng.random() < LONG_PROBABILITY
+        step_count = 1 if long else rng.choice((1, 1, 2))
+        steps = [self._random_step(number) for number in range(step_count)]
+        if long:
+            steps[0]["accelerators"] = 1
         job_id = f"{rng.getrandbits(64):016x}"
         job = JobObservations(job_id, rng.choice(("urgent", "normal")), steps)
         self._observations.job_by_id[job_id] = job
-        payload = {"work_s": rng.uniform(0.2, 2.0), "saves": steps[0]["saves"]}
+        work_s = rng.uniform(*(LONG_WORK_S if long else WORK_S))
+        payload = {"work_s": work_s, "saves": steps[0]["saves"]}
         body = job_body(steps, json.dumps(payload))
         for _ in range(MAX_TRIES):
             entry = rng.choice(self._entries)
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -99,7 +99,74 @@
         history.start("u1")
         history.end("u1")
         history.start("u2", run=2)
-        self.assert_violation(history, "completion was acknowledged")
+        self.assert_violation(history, "this end was acknowledged")
+
+    def test_start_between_a_completion_and_its_acknowledgement(self):
+        """Guards against missing a new run if the acknowledgement is late."""
+        history = History(step())
+        history.start("u1")
+        history.add_event("u1", "end", task=f"{JOB}.0.0.0", run=1, how="done")
+        history.start("u2", run=2)
+        self.assertEqual([], history.violations())
+        history.add_event("u1", "acknowledged", task=f"{JOB}.0.0.0", run=1, how="done")
+        self.assert_violation(history, "this end was acknowledged")
+
+    def test_lease_expired_between_a_completion_and_its_acknowledgement(self):
+        """Guards against false reports of a new run after a lost run.
+
+        If the lease expired before the acknowledgement, the end counts only
+        from then on, even if the upstream was paused and logged this later.
+        """
+        history = History(step())
+        history.start("u1")
+        history.add_event("u1", "end", task=f"{JOB}.0.0.0", run=1, how="done")
+        lease_end = history.now + 0.1
+        history.start("u2", run=2)
+        history.add_event("u1", "lease expired", over_at=lease_end)
+        history.add_event("u1", "acknowledged", task=f"{JOB}.0.0.0", run=1, how="done")
+        self.assertEqual([], history.violations())
+        history.end("u2", "failed", run=2)
+        history.start("u2", run=3)
+        self.assert_violation(history, "this end was acknowledged")
+
+    def test_lease_expired_at_another_time(self):
+        """Guards against excusing a new run for an unrelated lease.
+
+        The lease of another upstream or incarnation expires, or the lease
+        expires before the end or after its acknowledgement.
+        """
+        for expired_at, upstream, born in (
+            (0.1, "u2", 1),
+            (0.1, "u1", 2),
+            (-0.1, "u1", 1),
+            (0.6, "u1", 1),
+        ):
+            with self.subTest(expired_at=expired_at, upstream=upstream, born=born):
+                history = History(step())
+                history.start("u1")
+                history.end("u1")
+                ended_at = history.now - 0.5
+                history.start("u2", run=2)
+                fields = {"over_at": ended_at + expired_at, "born": born}
+                history.add_event(upstream, "lease expired", **fields)
+                self.assert_violation(history, "this end was acknowledged")
+
+    def test_failure_acknowledged_after_the_next_start(self):
+        """Guards against missing a start after three failures.
+
+        The third failure is acknowledged after the start.
+        """
+        history = History(step())
+        for run in (1, 2):
+            history.start("u1", run=run)
+            history.end("u1", "failed", run=run)
+        history.start("u1", run=3)
+        history.add_event("u1", "end", task=f"{JOB}.0.0.0", run=3, how="failed")
+        history.start("u2", run=4)
+        self.assertEqual([], history.violations())
+        name = f"{JOB}.0.0.0"
+        history.add_event("u1", "acknowledged", task=name, run=3, how="failed")
+        self.assert_violation(history, "failed too often")
 
     def test_start_before_an_earlier_step_is_done(self):
         """Guards against missing steps that run out of order."""
