Excuse a start after an end whose lease expired before its acknowledgement

The checks of the soak counted a start after an end as done was acknowledged, whatever happened between the end and its acknowledgement. The users' rules (TWICE) say that an end is taken note of when it is acknowledged "unless the worker's lease lapsed between the two; that stands for good".

Ends count now from the time of the end if they are acknowledged then or later with a lease that held, which is stricter than before where starts come between the two, and never otherwise. The same holds for failures.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -77,10 +77,11 @@
 
 
 def _find_noted_ends(events: list[dict[str, Any]]) -> set[int]:
-    """Return the indexes of the ends that count from the time of the end.
+    """Return the indexes of the ends that count against later starts.
 
-    They are acknowledged at some time.  If the lease of the upstream expired
-    before, the run may count as lost and its task may run again until then.
+    They are acknowledged at some time, and the lease of their upstream did
+    not expire before.  If it did, the run may count as lost and its task may
+    run again, also after the acknowledgement.
     """
     noted = set()
     pending_by_incarnation: dict[UpstreamIncarnation, dict[tuple[str, int], int]]
@@ -114,7 +115,6 @@
             set
         )
         self.done_at: dict[TaskId, float] = {}
-        self.noted_runs: set[tuple[TaskId, UpstreamIncarnation, int]] = set()
         self.noted_done_tasks: set[TaskId] = set()
         self.noted_failure_count_by_task: dict[TaskId, int] = defaultdict(int)
         self.failure_count_by_task: dict[TaskId, int] = defaultdict(int)
@@ -137,7 +137,7 @@
             case "end":
                 self._end(TaskId.parse(event["task"]), incarnation, event)
             case "acknowledged":
-                self._acknowledge(TaskId.parse(event["task"]), incarnation, event)
+                self._acknowledge(TaskId.parse(event["task"]), event)
 
     def _remove_tasks_of(self, upstream: str) -> None:
         for incarnation in list(self.tasks_by_incarnation):
@@ -234,29 +234,17 @@
             del self.incarnation_by_task[task]
         if event["how"] == "done":
             self.done_at.setdefault(task, event["at"])
-        if event["index"] in self.noted_ends:
-            self._note_end(task, incarnation, event)
-
-    def _acknowledge(
-        self, task: TaskId, incarnation: UpstreamIncarnation, event: dict[str, Any]
-    ) -> None:
-        if event["how"] == "failed":
-            self.failure_count_by_task[task] += 1
-        self._note_end(task, incarnation, event)
-
-    def _note_end(
-        self, task: TaskId, incarnation: UpstreamIncarnation, event: dict[str, Any]
-    ) -> None:
-        """Count an end against later starts of the task, once."""
-        run = (task, incarnation, event["run"])
-        if run in self.noted_runs:
+        if event["index"] not in self.noted_ends:
             return
-        self.noted_runs.add(run)
         if event["how"] == "done":
             self.noted_done_tasks.add(task)
         if event["how"] == "failed":
             self.noted_failure_count_by_task[task] += 1
 
+    def _acknowledge(self, task: TaskId, event: dict[str, Any]) -> None:
+        if event["how"] == "failed":
+            self.failure_count_by_task[task] += 1
+
 
 def _job_violations(job: JobObservations, cluster: _ClusterState) -> Iterator[str]:
     for at, state in job.observed_states:
