--- a/soak/checks.py
+++ b/soak/checks.py
@@ -70,21 +70,53 @@
         events.append(event)
     for at, name in observations.kills:
         events.append({"at": at, "event": "died", "upstream": name})
-    return sorted(events, key=lambda event: event["at"])
+    events.sort(key=lambda event: event["at"])
+    for index, event in enumerate(events):
+        event["index"] = index
+    return events
+
+
+def _find_noted_ends(events: list[dict[str, Any]]) -> set[int]:
+    """Return the indexes of the ends that count against later starts.
+
+    They are acknowledged at some time, and the lease of their upstream did
+    not expire before.  If it did, the run may count as lost and its task may
+    run again, also after the acknowledgement.
+    """
+    noted = set()
+    pending_by_incarnation: dict[UpstreamIncarnation, dict[tuple[str, int], int]]
+    pending_by_incarnation = defaultdict(dict)
+    for event in events:
+        if "born" not in event:
+            continue
+        incarnation = UpstreamIncarnation(event["upstream"], event["born"])
+        pending = pending_by_incarnation[incarnation]
+        match event["event"]:
+            case "end":
+                pending[(event["task"], event["run"])] = event["index"]
+            case "lease expired":
+                pending.clear()
+            case "acknowledged":
+                end = pending.pop((event["task"], event["run"]), None)
+                if end is not None:
+                    noted.add(end)
+    return noted
 
 
 class _ClusterState:
     """State of all upstreams and tasks, reconstructed from the events."""
 
-    def __init__(self, observations: Observations):
+    def __init__(self, observations: Observations, noted_ends: set[int]):
         self.observations = observations
+        self.noted_ends = noted_ends
         self.violations: list[str] = []
         self.incarnation_by_task: dict[TaskId, UpstreamIncarnation] = {}
         self.tasks_by_incarnation: dict[UpstreamIncarnation, set[TaskId]] = defaultdict(
             set
         )
         self.done_at: dict[TaskId, float] = {}
-        self.acknowledged_done_at: dict[TaskId, float] = {}
+        self.noted_done_tasks: set[TaskId] = set()
+        self.noted_failure_count_by_task: dict[TaskId, int] = defaultdict(int)
         self.failure_count_by_task: dict[TaskId, int] = defaultdict(int)
         self.leaving_since: dict[UpstreamIncarnation, float] = {}
         self.zone_by_upstream: dict[str, str] = {}
@@ -131,9 +163,9 @@
         current_incarnation = self.incarnation_by_task.get(task)
         if current_incarnation is not None:
             yield f"runs on {current_incarnation} already"
-        if task in self.acknowledged_done_at:
-            yield "its completion was acknowledged before"
-        if self.failure_count_by_task[task] >= MAX_ATTEMPTS:
+        if task in self.noted_done_tasks:
+            yield "has ended as done before, and this end was acknowledged"
+        if self.noted_failure_count_by_task[task] >= MAX_ATTEMPTS:
             yield "has failed too often"
         job = self.observations.job_by_id.get(task.job_id)
         if job is None:
@@ -202,10 +234,14 @@
             del self.incarnation_by_task[task]
         if event["how"] == "done":
             self.done_at.setdefault(task, event["at"])
+        if event["index"] not in self.noted_ends:
+            return
+        if event["how"] == "done":
+            self.noted_done_tasks.add(task)
+        if event["how"] == "failed":
+            self.noted_failure_count_by_task[task] += 1
 
     def _acknowledge(self, task: TaskId, event: dict[str, Any]) -> None:
-        if event["how"] == "done":
-            self.acknowledged_done_at.setdefault(task, event["at"])
         if event["how"] == "failed":
             self.failure_count_by_task[task] += 1
 
@@ -251,8 +287,9 @@
 
     ``lines`` are the logs of the stand-in upstreams.
     """
-    cluster = _ClusterState(observations)
-    for event in _parse_events(lines, observations):
+    events = _parse_events(lines, observations)
+    cluster = _ClusterState(observations, _find_noted_ends(events))
+    for event in events:
         cluster.apply(event)
     violations = list(cluster.violations)
     for job in observations.job_by_id.values():
