--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -9,8 +9,8 @@
 from soak.run import run_soak
 
 FAULTS_S = 6.0
-# Seed 35 failed with issue 49: upstreams restart while they have work, and polls
-# with the last number of an earlier incarnation delete unread ends of the next.
+# Seed 35 failed with issue 49: upstreams restart while they have work, and the
+# number of an earlier incarnation's last end deletes unread ends of the next.
 SEEDS = (1, 35)
 
 
