--- a/test/daemon/jobs/test_restarts.py
+++ b/test/daemon/jobs/test_restarts.py
@@ -9,7 +9,12 @@
 
 from persimmonyard.daemon.jobs.upstream_client import NoAnswerError
 from persimmonyard.jobs import EndRuns, JobState, SubmitJob, TaskEnd, order_fence
-from test.daemon.jobs.fakes import FakeUpstreamClient, InMemoryLeader, wait_until
+from test.daemon.jobs.fakes import (
+    DURATIONS,
+    FakeUpstreamClient,
+    InMemoryLeader,
+    wait_until,
+)
 from test.jobs.fixtures import job, step
 
 FIRST, SECOND = "00000000000000b1", "00000000000000b2"
@@ -175,6 +180,28 @@
         self.assertEqual(0.0, upstream.avoid_until)
         self.assertIsNone(self.leader.term.session(upstream).contact.silent_at)
 
+    async def test_polls_without_ends_cost_one_call_for_each_wait(self):
+        """Guards against further calls to upstreams that only run tasks.
+
+        A deployment may have 16,000 of them.  The first call confirms the
+        incarnation; a batch of ends takes one more, which acknowledges it.
+        """
+        self.leader.report("u1")
+        await self.submit(FIRST, step(4))
+        await wait_until(lambda: len(self.former.started) == 4)
+        began_at = asyncio.get_running_loop().time()
+        first_count = self.upstreams.poll_count
+        await asyncio.sleep(1.0)
+        elapsed_ms = (asyncio.get_running_loop().time() - began_at) * 1_000
+        waits = elapsed_ms / DURATIONS.wait_ms
+        self.assertLessEqual(self.upstreams.poll_count - first_count, waits + 2)
+        polls = self.upstreams.poll_count
+        for task_key in list(self.former.running):
+            self.former.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: self.former.acknowledged_end == 4)
+        await asyncio.sleep(0.5)
+        self.assertLessEqual(self.upstreams.poll_count - polls, 2)
+
     async def test_start_for_the_former_incarnation_is_refused_after_a_poll(self):
         """Guards against a start that is executed seconds after a restart."""
         self.leader.report("u1")
