Go on with stops when a run's own incarnation reports late

What callers saw: nothing; found by reading the sessions by incarnation again, before they landed. A new leader that knows an earlier incarnation than the one of a run stops the run, and with the report of the later one the stop was cancelled and never sent again. A doubt about an acknowledgement also ended with an incarnation that had answered, although the call may still reach the one after it.

Change: the successor goes on with the stop, and takes over the acknowledgement that has no answer with the time until which it may be executed.

Test: test_restarts, seen to fail.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -87,9 +87,10 @@
         self._last_end_number = 0
         self._acknowledged_end = 0
         # The highest number in an acknowledgement that may still be executed,
-        # until when, and how many ends this incarnation may forget.
+        # also by a later incarnation, and until when.
         self._unanswered_end = 0
         self._unanswered_until = float("-inf")
+        # How many ends this incarnation may forget.
         self.ends_in_doubt = 0
         self._work_added = asyncio.Event()
         self._failed_polls = 0
@@ -152,6 +153,8 @@
             if task_run.incarnation >= self.upstream.report.incarnation:
                 # Placed here by an earlier leader, which had the report first.
                 self.add(task_run)
+                if task_run.state == RunState.STOPPING:
+                    self._spawn(self._stop(task_run))
                 continue
             if task_run.state == RunState.STARTING and task_run.sent:
                 task_run.in_doubt = True
@@ -159,23 +162,12 @@
             task_run.stop_sent = False
             self.stop(task_run, "upstream restarted")
             self.add(task_run)
-        self.ends_in_doubt = max(
-            self.ends_in_doubt, predecessor.acknowledgement_in_doubt()
-        )
+        self._unanswered_end = predecessor._unanswered_end
+        self._unanswered_until = predecessor._unanswered_until
+        if self._term.now() < self._unanswered_until:
+            self.ends_in_doubt = max(self.ends_in_doubt, self._unanswered_end)
         self.request_look()
 
-    def acknowledgement_in_doubt(self) -> int:
-        """Return how many ends the next incarnation may forget.
-
-        It is the highest number in an acknowledgement that it may execute, or
-        a number that this incarnation may have executed itself.
-        """
-        now = self._term.now()
-        number = self.ends_in_doubt if not self.upstream.confirmed else 0
-        if now < self._unanswered_until:
-            number = max(number, self._unanswered_end)
-        return number
-
     async def begin(self) -> None:
         """Record the runs as lost that cannot be at work on this incarnation.
 
--- a/test/daemon/jobs/test_restarts.py
+++ b/test/daemon/jobs/test_restarts.py
@@ -8,14 +8,22 @@
 import unittest
 
 from persimmonyard.daemon.jobs.upstream_client import NoAnswerError
-from persimmonyard.jobs import EndRuns, JobState, SubmitJob, TaskEnd, order_fence
+from persimmonyard.jobs import (
+    CancelJob,
+    EndRuns,
+    ForgetUpstreams,
+    JobState,
+    SubmitJob,
+    TaskEnd,
+    order_fence,
+)
 from test.daemon.jobs.fakes import (
     DURATIONS,
     FakeUpstreamClient,
     InMemoryLeader,
     wait_until,
 )
-from test.jobs.fixtures import job, step
+from test.jobs.fixtures import job, report, step
 
 FIRST, SECOND = "00000000000000b1", "00000000000000b2"
 
@@ -233,6 +241,30 @@
         await wait_until(lambda: replacement.started, 2.0)
         self.assertEqual([TaskEnd.LOST], self.ends())
 
+    async def test_stop_goes_on_when_the_incarnation_of_its_run_reports(self):
+        """Guards against a cancelled run that nobody stops any more.
+
+        The new leader knows the incarnation before, and learns of the later
+        one after the stop has begun.
+        """
+        self.former.incarnation = 2
+        self.leader.report("u1", incarnation=2)
+        await self.submit(FIRST, step())
+        await wait_until(lambda: self.former.started)
+        self.leader.term.close()
+        store = self.leader.store
+        await wait_until(lambda: not self.leader.commits)
+        store.execute(ForgetUpstreams(("u1",)))
+        self.upstreams.silent.add("u1")
+        self.leader = InMemoryLeader(self.upstreams, store, fence=2)
+        term = self.leader.term
+        term.fleet.restore(report("u1"), 2_000, term.now(), float("inf"))
+        term.start()
+        await self.leader.term.commit(CancelJob(FIRST, 1))
+        self.upstreams.silent.clear()
+        self.leader.report("u1", incarnation=2, sequence=2)
+        await wait_until(lambda: not self.former.running, 5.0)
+
 
 class OrderFenceTests(unittest.TestCase):
     def test_fence_rises_with_the_term_and_with_the_incarnation(self):
