--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_term.py
@@ -92,14 +92,14 @@
         self.fleet = Fleet(durations.report_valid_s)
         self._leader_contact_at = leader_contact_at
         self.first_reports_until = now() + _REPORTS_AWAITED * durations.heartbeat_s
-        # Until then, orders of earlier leaders may be executed, and
-        # incarnations that began since may have executed those for others.
-        self._foreign_orders_until = now() + durations.late_order_s
+        # Incarnations that began in this time, in Unix milliseconds, may have
+        # executed orders of earlier leaders for other incarnations.
         late_ms = int(durations.late_order_s * 1_000)
-        self._in_doubt_since_ms = wall_clock.now_ms() - late_ms
+        began_ms = wall_clock.now_ms()
+        self._foreign_orders_ms = range(began_ms - late_ms, began_ms + late_ms)
         if not store.job_by_id:
             # No earlier leader has sent an order.
-            self._foreign_orders_until = now()
+            self._foreign_orders_ms = range(0)
         self._metrics = metrics
         # Set when a background task has failed or the lease has lapsed; the
         # process then replaces this object by a new one.
@@ -220,9 +220,7 @@
         Such an order was sent to the incarnation before it, which may have
         ended at the time of the change of leaders.
         """
-        if self.now() >= self._foreign_orders_until:
-            return False
-        return upstream.report.incarnation >= self._in_doubt_since_ms
+        return upstream.report.incarnation in self._foreign_orders_ms
 
     def replace_session(
         self, session: UpstreamSession, upstream: Upstream
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -27,9 +27,10 @@
 # How long an upstream gets no new work after it refused a start or did not
 # answer it, in seconds.
 _REFUSAL_AVOID_S = 2.0
-# The same while the first run on an upstream is stopped to learn whether its
-# ends are listed.
+# The same while another run on it is an end probe.
 _PROBE_AVOID_S = 0.5
+# Lease of an end probe, in order time-outs: the start and the stop.
+_PROBE_LEASE_SHARE = 2
 
 
 class RunStarter:
@@ -91,9 +92,14 @@
                 await self._give_up_start(task_run, "upstream has shrunk")
                 return
             now = term.now()
+            lease_ms = term.durations.lease_ms
+            if self._session.ends_in_doubt:
+                lease_ms = int(
+                    _PROBE_LEASE_SHARE * term.durations.order_timeout_s * 1e3
+                )
             if self._session.ends_in_doubt and not self._session.is_alone(task_run):
                 self._session.upstream.avoid(now + _PROBE_AVOID_S)
-                await self._give_up_start(task_run, "ends in doubt")
+                await self._give_up_start(task_run, "end probe in progress")
                 return
             task_run.sent = True
             if task_run.delivered_at is None:
@@ -103,7 +109,7 @@
                 task_run.task_key,
                 task_run.run,
                 term.payload(task_run),
-                self._session.upstream.grant_lease(term.durations.lease_ms, now),
+                self._session.upstream.grant_lease(lease_ms, now),
                 self._session.fence,
                 unit.checkpoint,
             )
@@ -227,9 +233,7 @@
             term.record_started(
                 task_run, self._session.upstream, now - task_run.placed_at
             )
-            if self._session.ends_in_doubt:
-                term.record_event("end_probe")
-                self._session.stop(task_run, "ends in doubt")
+            self._session.stop_if_probe(task_run)
             return True
         term.log.info(
             "start refused",
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -44,11 +44,15 @@
 # How long an upstream gets no new work after a poll without an answer, in
 # seconds.  It exceeds the interval at which a silent upstream is polled.
 _NO_ANSWER_AVOID_S = 1.5
-# A poll that only acknowledges ends is delayed this long, in seconds: if new
-# work arrives in that time, its poll acknowledges them as well.
+# Without runs, ends whose acknowledgement got no answer are listed again after
+# this time, in seconds.
 _ACKNOWLEDGE_DELAY_S = 0.3
 # Number of the last end that an earlier leader may have acknowledged.
 _UNKNOWN_END = 1 << 31
+# While ends are in doubt: how long a poll waits, in milliseconds, and how long
+# the upstream gets no new work after the start of an end probe, in seconds.
+_PROBE_WAIT_MS = 200
+_PROBE_AVOID_S = 0.5
 # Age of a listing up to which its ends are acknowledged, in seconds: an
 # upstream needs longer than this to restart.
 _FRESH_LISTING_S = 0.1
@@ -70,8 +74,8 @@
 
     It may also have executed an acknowledgement of its predecessor, and then
     forgets its own ends up to that number.  Until it has listed an end, it
-    gets one run at a time, which is stopped at once: the end of such a run is
-    known without a listing.
+    gets one run at a time, an end probe: a run with a short lease that is
+    stopped at once, so that it hardly ever completes unseen.
     """
 
     def __init__(
@@ -86,10 +90,10 @@
         self.task_run_by_key: dict[tuple[TaskKey, int], TaskRun] = {}
         self._last_end_number = 0
         self._acknowledged_end = 0
-        # The highest number in an acknowledgement that may still be executed,
-        # also by a later incarnation, and until when.
+        # The highest number in an acknowledgement without an answer, which a
+        # later incarnation may execute, and those in progress.
         self._unanswered_end = 0
-        self._unanswered_until = float("-inf")
+        self._ends_in_progress: list[int] = []
         # How many ends this incarnation may forget.
         self.ends_in_doubt = 0
         self._work_added = asyncio.Event()
@@ -127,6 +131,10 @@
 
     def add(self, task_run: TaskRun) -> None:
         """Supervise a run that was placed on the upstream."""
+        if task_run.taken_over and not task_run.replaced:
+            # The earlier leader had no doubt about the ends, or few runs would
+            # be here.
+            self.ends_in_doubt = 0
         self.task_run_by_key[(task_run.task_key, task_run.run)] = task_run
         self._work_added.set()
         if task_run.state == RunState.STARTING:
@@ -153,6 +161,9 @@
             if task_run.incarnation >= self.upstream.report.incarnation:
                 # Placed here by an earlier leader, which had the report first.
                 self.add(task_run)
+                self.upstream.assume_lease(
+                    self._term.durations.longest_lease_ms, self._term.now()
+                )
                 if task_run.state == RunState.STOPPING:
                     self._spawn(self._stop(task_run))
                 continue
@@ -162,10 +173,10 @@
             task_run.stop_sent = False
             self.stop(task_run, "upstream restarted")
             self.add(task_run)
-        self._unanswered_end = predecessor._unanswered_end
-        self._unanswered_until = predecessor._unanswered_until
-        if self._term.now() < self._unanswered_until:
-            self.ends_in_doubt = max(self.ends_in_doubt, self._unanswered_end)
+        self._unanswered_end = max(
+            predecessor._unanswered_end, *predecessor._ends_in_progress, 0
+        )
+        self.ends_in_doubt = max(self.ends_in_doubt, self._unanswered_end)
         self.request_look()
 
     async def begin(self) -> None:
@@ -191,6 +202,7 @@
         """Stop a run, or prevent its start if it has not started."""
         if task_run.state == RunState.STOPPING:
             return
+        unsent = task_run.state == RunState.STARTING and not task_run.sent
         task_run.state = RunState.STOPPING
         task_run.answered_at = None
         task_run.stop_reason = reason
@@ -203,8 +215,14 @@
             reason=reason,
             progress=task_run.percent,
         )
-        if not task_run.replaced:
-            self._spawn(self._stop(task_run))
+        if task_run.replaced:
+            return
+        if unsent:
+            self._spawn(
+                self._term.commit_ends([self.run_end(task_run, TaskEnd.REJECTED)])
+            )
+            return
+        self._spawn(self._stop(task_run))
 
     async def record_all_lost(
         self, reason: str, run_end: TaskEnd = TaskEnd.LOST
@@ -297,6 +315,9 @@
                 continue
             if task_run.started_at is None:
                 return 0
+        if self.ends_in_doubt:
+            # An end that is forgotten ends no wait.
+            return min(_PROBE_WAIT_MS, self._term.durations.wait_ms)
         return self._term.durations.wait_ms
 
     async def poll(self, wait_ms: int) -> None:
@@ -334,28 +355,34 @@
             and self.task_run_by_key
             and not self._failed_polls
             and not acknowledged_end
+            and not self.ends_in_doubt
         ):
             until_ms = upstream.grant_lease(term.durations.lease_ms, sent_at)
-        unanswered = (self._unanswered_end, self._unanswered_until)
-        if acknowledged_end:
-            self._unanswered_end = max(self._unanswered_end, acknowledged_end)
-            self._unanswered_until = sent_at + term.durations.late_order_s
+        self._ends_in_progress.append(acknowledged_end)
+        answered_here = False
         try:
             listing = await self.contact.call(
                 term.upstream_client.renew(
                     self.target(), until_ms, self.fence, acknowledged_end, wait_ms
                 )
             )
+            answered_here = (
+                isinstance(listing, RunListing)
+                and listing.incarnation == upstream.report.incarnation
+            )
         except NoAnswerError as error:
             await self._handle_no_answer(str(error))
             return None
+        finally:
+            self._ends_in_progress.remove(acknowledged_end)
+            if not answered_here:
+                self._unanswered_end = max(self._unanswered_end, acknowledged_end)
         if isinstance(listing, OrderReply):
             await self._handle_refused_poll(listing)
             return None
         received_at = term.now()
-        self._unanswered_end, self._unanswered_until = unanswered
         self._failed_polls = 0
-        if listing.incarnation != upstream.report.incarnation:
+        if not answered_here:
             # The upstream restarted, and its first report has not arrived.
             self._log_other_incarnation(listing, acknowledged_end, until_ms)
             self._failed_polls = 1
@@ -388,6 +415,13 @@
                 found.append(run_silence)
         return found
 
+    def stop_if_probe(self, task_run: TaskRun) -> None:
+        """Stop a run that has started while ends are in doubt."""
+        if self.ends_in_doubt:
+            self._term.record_event("end_probe")
+            self.upstream.avoid(self._term.now() + _PROBE_AVOID_S)
+            self.stop(task_run, "end probe")
+
     def is_alone(self, task_run: TaskRun) -> bool:
         """Return whether no other run may be present on the upstream."""
         for other in self.task_run_by_key.values():
@@ -476,6 +510,7 @@
             if task_run.state in (RunState.INHERITED, RunState.STARTING):
                 task_run.state = RunState.RUNNING
                 task_run.answered_at = now
+                self.stop_if_probe(task_run)
             self._term.progress_observer.observe(
                 task_run, upstream.report.upstream_id, now
             )
--- a/packages/jobs/src/persimmonyard/jobs/fleet.py
+++ b/packages/jobs/src/persimmonyard/jobs/fleet.py
@@ -129,6 +129,11 @@
         self.confirmed = True
         self.latest_lease_end_ms = self.clock_floor_ms(now) + longest_lease_ms
 
+    def assume_lease(self, lease_ms: int, now: float) -> None:
+        """Assume that an earlier leader has granted a lease until now."""
+        lease_end_ms = self.clock_floor_ms(now) + lease_ms
+        self.latest_lease_end_ms = max(self.latest_lease_end_ms, lease_end_ms)
+
     def grant_lease(self, lease_ms: int, now: float) -> int:
         """Grant a lease and return its end on the upstream's clock."""
         lease_end_ms = self.clock_floor_ms(now) + lease_ms
--- a/test/daemon/jobs/test_restarts.py
+++ b/test/daemon/jobs/test_restarts.py
@@ -28,17 +28,20 @@
 FIRST, SECOND = "00000000000000b1", "00000000000000b2"
 
 
-class HangingPolls(FakeUpstreamClient):
-    """An upstream client whose polls hang while ``hanging`` is set.
+class FaultyCalls(FakeUpstreamClient):
+    """An upstream client with faults; polls hang while ``hanging`` is set.
 
     Those in progress fail when ``failed`` is set.  With
-    ``lost_acknowledgements`` calls that acknowledge ends get no answer.
+    ``lost_acknowledgements`` calls that acknowledge ends get no answer, and
+    ``before_acknowledgement`` is called before one is executed.
     """
 
     def __init__(self):
         super().__init__()
         self.hanging = False
         self.lost_acknowledgements = None
+        self.before_acknowledgement = None
+        self.lose_start_answers = False
         self.hanging_count = 0
         self.failed = asyncio.Event()
 
@@ -50,12 +53,20 @@
         if acknowledged_end and self.lost_acknowledgements is not None:
             self.lost_acknowledgements += 1
             raise NoAnswerError("time-out")
+        if acknowledged_end and self.before_acknowledgement is not None:
+            self.before_acknowledgement()
         return await super().renew(target, until_ms, fence, acknowledged_end, wait_ms)
 
+    async def start(self, target, order):
+        reply = await super().start(target, order)
+        if self.lose_start_answers:
+            raise NoAnswerError("answer lost")
+        return reply
+
 
 class RestartTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.upstreams = HangingPolls()
+        self.upstreams = FaultyCalls()
         self.former = self.upstreams.add("u1")
         self.leader = InMemoryLeader(self.upstreams)
         self.leader.term.start()
@@ -161,6 +172,10 @@
         replacement = self.restart()
         replacement.acknowledged_end = 2
         self.leader.report("u1", incarnation=2)
+        await self.check_tasks_complete_once(replacement)
+
+    async def check_tasks_complete_once(self, replacement):
+        """Run four tasks on a replacement; those not stopped end as done."""
         record = await self.submit(SECOND, step(4))
         done = []
         while record.state() != JobState.COMPLETED:
@@ -171,6 +186,51 @@
                 done.append(task_key)
         self.assertEqual(4, len(done))
 
+    async def test_acknowledgement_that_the_next_incarnation_answers(self):
+        """Guards against taking its answer for that of the former one."""
+        self.leader.report("u1")
+        await self.submit(FIRST, step(3))
+        await wait_until(lambda: len(self.former.started) == 3)
+        replacements = []
+        self.upstreams.before_acknowledgement = lambda: replacements.append(
+            self.restart()
+        )
+        for task_key in list(self.former.running):
+            self.former.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: replacements)
+        self.upstreams.before_acknowledgement = None
+        self.leader.report("u1", incarnation=2)
+        await self.check_tasks_complete_once(replacements[0])
+
+    async def test_lost_answer_to_the_first_start_lets_no_end_be_forgotten(self):
+        """Guards against a run that works on while ends are in doubt.
+
+        The answer to its start is lost, and a listing shows that it runs.
+        """
+        self.leader.report("u1")
+        await self.submit(FIRST, step(3))
+        await wait_until(lambda: len(self.former.started) == 3)
+        self.upstreams.lost_acknowledgements = 0
+        for task_key in list(self.former.running):
+            self.former.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: self.upstreams.lost_acknowledgements)
+        self.upstreams.lost_acknowledgements = None
+        replacement = self.restart()
+        replacement.acknowledged_end = 2
+        self.upstreams.lose_start_answers = True
+        self.leader.report("u1", incarnation=2)
+        await self.check_tasks_complete_once(replacement)
+
+    async def test_stopped_run_without_a_start_ends_on_a_silent_upstream(self):
+        """Guards against a seat that stays open while its upstream is dead."""
+        self.upstreams.silent.add("u1")
+        self.leader.report("u1")
+        await self.submit(FIRST, step())
+        store = self.leader.store
+        await wait_until(lambda: store.seats_by_upstream.get("u1"))
+        await self.leader.term.commit(CancelJob(FIRST, 1))
+        await wait_until(lambda: not store.seats_by_upstream.get("u1"), 1.0)
+
     async def test_failed_poll_of_the_former_incarnation_is_none_of_the_next(self):
         """Guards against conclusions from a call to another incarnation."""
         self.leader.report("u1")
