--- a/test/daemon/jobs/test_restarts.py
+++ b/test/daemon/jobs/test_restarts.py
@@ -83,6 +83,20 @@
         replacement.incarnation = 2
         return replacement
 
+    async def restart_with_an_acknowledgement_in_flight(self):
+        """Restart u1, whose next incarnation executes the call unanswered."""
+        self.leader.report("u1")
+        await self.submit(FIRST, step(3))
+        await wait_until(lambda: len(self.former.started) == 3)
+        self.upstreams.lost_acknowledgements = 0
+        for task_key in list(self.former.running):
+            self.former.end(task_key, TaskEnd.DONE)
+        await wait_until(lambda: self.upstreams.lost_acknowledgements)
+        self.upstreams.lost_acknowledgements = None
+        replacement = self.restart()
+        replacement.acknowledged_end = 2
+        return replacement
+
     def ends(self):
         """Return how the runs of each committed command have ended."""
         found = []
@@ -161,16 +175,7 @@
 
         It has executed an acknowledgement that was in flight at its start.
         """
-        self.leader.report("u1")
-        await self.submit(FIRST, step(3))
-        await wait_until(lambda: len(self.former.started) == 3)
-        self.upstreams.lost_acknowledgements = 0
-        for task_key in list(self.former.running):
-            self.former.end(task_key, TaskEnd.DONE)
-        await wait_until(lambda: self.upstreams.lost_acknowledgements)
-        self.upstreams.lost_acknowledgements = None
-        replacement = self.restart()
-        replacement.acknowledged_end = 2
+        replacement = await self.restart_with_an_acknowledgement_in_flight()
         self.leader.report("u1", incarnation=2)
         await self.check_tasks_complete_once(replacement)
 
@@ -207,16 +212,7 @@
 
         The answer to its start is lost, and a listing shows that it runs.
         """
-        self.leader.report("u1")
-        await self.submit(FIRST, step(3))
-        await wait_until(lambda: len(self.former.started) == 3)
-        self.upstreams.lost_acknowledgements = 0
-        for task_key in list(self.former.running):
-            self.former.end(task_key, TaskEnd.DONE)
-        await wait_until(lambda: self.upstreams.lost_acknowledgements)
-        self.upstreams.lost_acknowledgements = None
-        replacement = self.restart()
-        replacement.acknowledged_end = 2
+        replacement = await self.restart_with_an_acknowledgement_in_flight()
         self.upstreams.lose_start_answers = True
         self.leader.report("u1", incarnation=2)
         await self.check_tasks_complete_once(replacement)
