Keep the port of an unreachable process bound in its test

Cause: the test called a port that it had released, which another module may take.

Change: the port stays bound without a listener during the call, so that the kernel refuses the connection and gives the port to nobody. The expected code is as before.

--- a/test/daemon/test_leader.py
+++ b/test/daemon/test_leader.py
@@ -1,7 +1,6 @@
 """Tests of the entry's leader client and of its local state."""
 
 import asyncio
-import socket
 import time
 import unittest
 import unittest.mock
@@ -20,6 +19,7 @@
     ResultCode,
     ZoneSpec,
 )
+from persimmonyard.standin.deployment import bind_free_port
 from persimmonyard.state.commands import CancelRequest, CommandResult, command_codec
 from persimmonyard.wire import (
     ConfigurationUpdate,
@@ -227,11 +227,11 @@
 
         No process listens at the address.
         """
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            port = probe.getsockname()[1]
-        client = self.make_client({"control-1": f"127.0.0.1:{port}"})
-        call = client.execute(CancelRequest("r-1", "a"), wait_s=1.0)
-        self.assertEqual(await self.error_code_of(call), ResultCode.NO_LEADER)
+        with bind_free_port() as bound_socket:
+            port = bound_socket.getsockname()[1]
+            client = self.make_client({"control-1": f"127.0.0.1:{port}"})
+            call = client.execute(CancelRequest("r-1", "a"), wait_s=1.0)
+            self.assertEqual(await self.error_code_of(call), ResultCode.NO_LEADER)
 
     async def test_leader_hint_is_followed(self):
         """Guards against ignoring the leader hint of a follower."""
