Let the leader of the fuzz test of restarts share its term's set-up

It repeated InMemoryLeader.build_term for one argument, the clock of the term, which InMemoryLeader takes now.

--- a/test/daemon/jobs/fakes.py
+++ b/test/daemon/jobs/fakes.py
@@ -225,9 +225,11 @@
         system_clock=time.time,
         steady_clock=boottime_now,
         contact_at=None,
+        term_clock=boottime_now,
     ):
         self.upstreams = upstreams
         self.durations = durations
+        self.term_clock = term_clock
         self.wall_clock = SteadyWallClock(steady_clock, system_clock)
         self.store = store or JobStore()
         self.store.execute(PutConfiguration(configuration()))
@@ -249,7 +251,8 @@
             lambda: self.leading,
             JobMetrics(),
             self.wall_clock,
-            leader_contact_at=contact_at,
+            self.term_clock,
+            contact_at,
         )
 
     def begin_again(self):
--- a/test/daemon/jobs/test_restart_fuzz.py
+++ b/test/daemon/jobs/test_restart_fuzz.py
@@ -13,8 +13,6 @@
 from dataclasses import dataclass, field
 from unittest import mock
 
-from persimmonyard.daemon.jobs.leader_term import LeaderTerm
-from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.jobs import (
     JobState,
     JobStore,
@@ -195,20 +193,7 @@
             system_clock=lambda: unix_ms() / 1_000,
             steady_clock=now,
             contact_at=contact_at,
-        )
-
-    def build_term(self, fence, contact_at=None):
-        return LeaderTerm(
-            self.store,
-            self.upstreams,
-            self.durations,
-            fence,
-            self.propose,
-            lambda: self.leading,
-            JobMetrics(),
-            self.wall_clock,
-            now,
-            contact_at,
+            term_clock=now,
         )
 
 
