--- a/review/13/case.py
+++ b/review/13/case.py
@@ -70,9 +70,7 @@
         job_id, _ = await stage.submit(
             {
                 "spec": f'{{"work_s": {WORK_S}}}',
-                "steps": [
-                    {"count": 2, "cpu": 2000, "mem_mb": 256, "estimate_ms": 900}
-                ],
+                "steps": [{"count": 2, "cpu": 2000, "mem_mb": 256, "estimate_ms": 900}],
             }
         )
         await asyncio.sleep(0.5)
--- a/review/lib-3/stage.py
+++ b/review/lib-3/stage.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import uuid
 from pathlib import Path
 
@@ -116,9 +117,7 @@
         if not self.runs():
             return 0.0
         try:
-            pages = int(
-                Path(f"/proc/{self.child.pid}/statm").read_text().split()[1]
-            )
+            pages = int(Path(f"/proc/{self.child.pid}/statm").read_text().split()[1])
         except (OSError, IndexError):
             return 0.0
         return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
@@ -140,9 +139,14 @@
         self.record = Record(case_folder)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         base = random.randint(21_000, 30_000)
-        self.front, self.ready, self.control_port, self.peer, self.metrics, self.work = (
-            range(base, base + 6)
-        )
+        (
+            self.front,
+            self.ready,
+            self.control_port,
+            self.peer,
+            self.metrics,
+            self.work,
+        ) = range(base, base + 6)
         self.subnet = _free_subnet(range(base, base + 6))
         self.zones = zones
         self.controls = []
@@ -198,9 +202,7 @@
         }
 
     async def start(self, configuration):
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0)
-        )
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         for process in [*self.controls, *self.entries]:
             await process.start()
         await self.put_configuration(configuration, 40)
@@ -405,14 +407,10 @@
         application.router.add_post("/api/run-start", self._guarded(self._start))
         application.router.add_post("/api/run-stop", self._guarded(self._stop))
         application.router.add_post("/api/hold", self._guarded(self._hold))
-        self.runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=0.05
-        )
+        self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.05)
         await self.runner.setup()
         host, _, port = self.address.rpartition(":")
-        await web.TCPSite(
-            self.runner, host, int(port), reuse_address=True
-        ).start()
+        await web.TCPSite(self.runner, host, int(port), reuse_address=True).start()
         self.beat_task = asyncio.create_task(self._beat())
         self.life_task = asyncio.create_task(self._live())
         self.stage.record.add(f"worker {self.name} boots, born {self.born}")
@@ -559,7 +557,7 @@
         return body
 
     async def send(self, method, body):
-        """Send a call about this worker; return whether it was acknowledged."""
+        """Send a call about this worker; return whether it got an ack."""
         addresses = list(self.control_addresses)
         random.shuffle(addresses)
         if self.heartbeat_address in addresses:
@@ -606,15 +604,23 @@
 
 
 def run_case(case_folder, play):
-    """Run ``play(stage)``; exit with 1 if it returns a broken rule, else 0.
+    """Run ``play(case_folder)``; exit with 1 if rules were broken, else 0.
 
-    ``play`` gets the folder of the case and returns the broken rules as text,
-    or an empty list.  The exit status is 2 if the case could not run.
+    The exit status is 2 if the case could not run.  SIGTERM ends the case and
+    the processes that it started.
     """
+
+    async def run():
+        task = asyncio.ensure_future(play(case_folder))
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
     try:
-        broken = asyncio.run(play(case_folder))
-    except NotRunnable as error:
-        print(f"could not run: {error}")
+        broken = asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        print("could not run")
         sys.exit(2)
     for line in broken:
         print(line)
