--- a/review/lib-3/stage.py
+++ b/review/lib-3/stage.py
@@ -683,21 +683,23 @@
             self._writers -= {writer, far_writer}
 
     async def _copy(self, reader, writer, answers):
+        held_up = False
         try:
             while data := await reader.read(65_536):
                 if answers and self.drops_answers:
                     first = data.split(b"\r\n", 1)[0].decode("latin-1")
                     self.stage.record.add(f"link drops {len(data)} bytes: {first}")
                     continue
+                held_up = held_up or not self._passes.is_set()
                 await self._passes.wait()
                 writer.write(data)
                 await writer.drain()
         except OSError:
             pass
-        if not self._passes.is_set():
+        await self._passes.wait()
+        if held_up:
             # TCP sends the bytes again first; the end of the channel follows
             # once they are acknowledged.
-            await self._passes.wait()
             await asyncio.sleep(CLIENT_ROUND_TRIP_S)
         if answers:
             writer.transport.abort()
