Remove replaced control processes from groups of any size

Cause: a silent voter was removed only while the number of voters was even. Both successors joined before the lost voters counted as silent (3 s), so the group had seven voters for good, two of them dead, and a quorum was four of five. After two lost disks, three replicas could vote.

Change: a silent voter is removed while more than 2 f + 1 voters are left, the longest silent one first, and none below that; f is group.tolerated_losses, which the platform states. A process that gets SIGTERM hands leadership over and asks to be removed before it stops. Silent learners are removed. Voters, learners and silent members are metrics; each change is a log line with its reason.

The check of votes in test/replication/cluster.py compares whole names in place of their first two characters: names of three characters would pass or fail it by accident.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/control_process.py
@@ -22,6 +22,7 @@
 from persimmonyard.daemon.jobs.job_service import JobService
 from persimmonyard.daemon.jobs.leader_client import LeaderClient
 from persimmonyard.daemon.jobs.leader_term import LeaderTerm
+from persimmonyard.daemon.jobs.member_removal import MemberRemoval, leave_group
 from persimmonyard.daemon.jobs.metrics import JobMetrics
 from persimmonyard.daemon.jobs.operator_service import OperatorService
 from persimmonyard.daemon.jobs.rpc import (
@@ -29,6 +30,7 @@
     CallReply,
     JobCall,
     Join,
+    Leave,
     OperatorCall,
     Outcome,
     call_handler,
@@ -63,10 +65,6 @@
 _JOIN_RETRY_S = 0.5
 # Interval at which members check the group, in seconds.
 _MEMBER_CHECK_INTERVAL_S = 1.0
-# A voter that is silent for this long, in seconds, may be removed; a restart
-# takes less.
-_SILENT_VOTER_S = 3.0
-_MIN_VOTERS_TO_REMOVE = 4
 # After a failed sync, the process exits once a test write to the disk succeeds
 # or this many have failed, at this interval in seconds; it is then restarted.
 _MAX_DISK_CHECKS = 20
@@ -162,6 +160,9 @@
             self._fail,
             self._on_disk_event,
         )
+        self._member_removal = MemberRemoval(
+            self._replica, self._settings.group.tolerated_losses, self._log
+        )
         self._server = grpc.aio.server(options=MESSAGE_OPTIONS)
         self._server.add_generic_rpc_handlers((call_handler(self._answer),))
         self._transport.register(self._server)
@@ -190,7 +191,7 @@
         self._background.start("stall clock", self._stall_clock.run)
         self._background.start("leadership", self._watch_leadership)
         self._background.start("membership", self._join_group)
-        self._background.start("silent voters", self._remove_silent_voters)
+        self._background.start("member removal", self._member_removal.run)
         self._log.info("listening", control=self.own_address(), members=seeds)
 
     async def _start_inspection(self) -> None:
@@ -206,6 +207,21 @@
         self._metrics.add_gauge(
             "leads", "1 if this process leads.", lambda: self._replica.is_leader()
         )
+        self._metrics.add_gauge(
+            "voters",
+            "Voters of the replicated log.",
+            lambda: len(self._replica.members().voters),
+        )
+        self._metrics.add_gauge(
+            "learners",
+            "Members that do not vote yet.",
+            lambda: len(self._replica.members().learners),
+        )
+        self._metrics.add_gauge(
+            "silent_members",
+            "Members that do not answer the leader; 0 at other processes.",
+            lambda: len(self._member_removal.silent_members()),
+        )
         add_account_gauges(self._metrics, lambda: self.leader_term)
         add_speed_gauges(self._metrics, lambda: self.leader_term)
         addresses = self._settings.addresses
@@ -254,6 +270,16 @@
 
     async def stop(self) -> None:
         """Transfer leadership, finish the calls in progress and stop."""
+        if not self.failure.done():
+            deadline = boottime_now() + self._durations.notice_s
+            await self._replica.transfer_leadership()
+            await leave_group(
+                self.name,
+                self._member_removal,
+                self._leader_client,
+                self._log,
+                deadline,
+            )
         await self._replica.stop()
         self._end_leadership()
         self._background.cancel()
@@ -359,25 +385,6 @@
             return False
         return bool(status.leader)
 
-    async def _remove_silent_voters(self) -> None:
-        """Remove a silent voter after a new member has replaced it.
-
-        The number of voters is even after a member was added.  An even number
-        tolerates no more failures than one voter fewer does.
-        """
-        while True:
-            await asyncio.sleep(_MEMBER_CHECK_INTERVAL_S)
-            voters = self._replica.status().voters
-            silent = self._replica.silent_voters(_SILENT_VOTER_S)
-            if len(voters) % 2 or len(voters) < _MIN_VOTERS_TO_REMOVE or not silent:
-                continue
-            try:
-                await self._replica.remove_member(silent[0])
-            except MemberChangeError as error:
-                self._log.info("removal refused", reason=str(error))
-                continue
-            self._log.warning("silent member removed", member=silent[0])
-
     async def _answer(self, call: Call, context: Any) -> CallReply:
         if isinstance(call, JobCall):
             reply = await self.service.answer(call)
@@ -387,6 +394,8 @@
             reply = CallReply(Outcome.NOT_LEADER)
         elif isinstance(call, Join):
             reply = await self._add_member(call)
+        elif isinstance(call, Leave):
+            reply = await self._member_removal.answer_leave(call)
         else:
             configured = self.store.configuration is not None
             outcome = Outcome.OK if configured else Outcome.NO_CONFIGURATION
--- a/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/durations.py
@@ -67,7 +67,8 @@
     ``silent_after_s`` after its last report.  ``wait_ms`` is how
     long an upstream may wait for an end in a poll.  A stopping entry accepts
     new calls for ``notice_s`` after it reports as not ready, and calls in
-    progress get ``drain_s`` more.  ``longest_lease_ms`` is the longest lease
+    progress get ``drain_s`` more; a stopping control process leaves the group
+    within ``notice_s``.  ``longest_lease_ms`` is the longest lease
     that upstreams grant, and ``late_order_s`` how long after its sending an
     order without an answer may still be executed.  A stopped run has ended
     within ``longest_stop_s``.
--- a/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/leader_client.py
@@ -54,7 +54,6 @@
 # of 9 ms.
 _FAILOVER_DELAY_S = 0.3
 # A leader that answers calls is asked for the members this often, in seconds.
-# Control instances are replaced one at a time, with seconds in between.
 _MEMBERS_INTERVAL_S = 2.5
 # Mean delay before a call is sent again to the same leader, and before a
 # process that does not answer is probed again, in seconds.
--- a/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/rpc.py
@@ -17,6 +17,7 @@
     "ConfigurationQuery",
     "JobCall",
     "Join",
+    "Leave",
     "OperatorCall",
     "OperatorOrder",
     "Outcome",
@@ -93,6 +94,12 @@
     address: str
 
 
+class Leave(msgspec.Struct, frozen=True, array_like=True, tag="leave"):
+    """A request of a control process that stops to be removed."""
+
+    name: str
+
+
 class ConfigurationOrder(msgspec.Struct, frozen=True, array_like=True, tag="put"):
     """Apply a configuration unless the current version is as high."""
 
@@ -145,7 +152,7 @@
     retry_after_s: int = 0
 
 
-Call = JobCall | OperatorCall | Probe | Join
+Call = JobCall | OperatorCall | Probe | Join | Leave
 
 _ENCODER = msgspec.msgpack.Encoder()
 _CALL_DECODER = msgspec.msgpack.Decoder(Call)
--- a/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/settings.py
@@ -20,7 +20,11 @@
 
 
 # Values that a platform fills in as text, which is empty where it has none.
-_OPTIONAL_VALUES = (("bounds", "longest_stop_ms"), ("limits", "memory_mb"))
+_OPTIONAL_VALUES = (
+    ("bounds", "longest_stop_ms"),
+    ("group", "tolerated_losses"),
+    ("limits", "memory_mb"),
+)
 # The part of the memory of an instance that the records of jobs may take.
 _WORK_SHARE = 0.25
 
@@ -66,12 +70,14 @@
 
     ``seeds`` are the control addresses of the initial members.
     ``first_start`` is true only while a new deployment starts with empty
-    disks.
+    disks.  ``tolerated_losses`` is how many control processes may be lost at
+    the same time.
     """
 
     seeds: list[str]
     first_start: bool
     data_folder: str = ""
+    tolerated_losses: int = 1
 
 
 class BoundSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -167,6 +173,11 @@
         )
     if not settings.group.seeds:
         raise _invalid_setting("group.seeds is empty; give the control addresses")
+    if settings.group.tolerated_losses < 0:
+        raise _invalid_setting(
+            f"group.tolerated_losses is {settings.group.tolerated_losses}; "
+            "give 0 or a number above it"
+        )
     control = settings.process.role == "job-control"
     if control and not settings.group.data_folder:
         raise _invalid_setting(
--- a/packages/replication/src/persimmonyard/replication/__init__.py
+++ b/packages/replication/src/persimmonyard/replication/__init__.py
@@ -14,6 +14,7 @@
 )
 from persimmonyard.replication.events import Role
 from persimmonyard.replication.folder import check_writable, initialize
+from persimmonyard.replication.group_size import least_voters, removable_member
 from persimmonyard.replication.interface import (
     DiskEvent,
     ReplicaStatus,
@@ -62,5 +63,7 @@
     "decode_batch",
     "encode_batch",
     "initialize",
+    "least_voters",
     "payload_bytes",
+    "removable_member",
 ]
--- a/packages/replication/src/persimmonyard/replication/leader.py
+++ b/packages/replication/src/persimmonyard/replication/leader.py
@@ -45,7 +45,7 @@
         core.leader_id = core.config.replica_id
         first_index = core.log.last_index + 1
         core.leader_state = LeaderState(core.config.replica_id, first_index, core.now)
-        core.leader_state.update_members(core.members, first_index)
+        core.leader_state.update_members(core.members, first_index, core.now)
         core.emit(RoleChanged(core.role, core.term))
         self._append([Entry(core.term, EntryKind.NO_OP, b"")])
 
@@ -274,7 +274,7 @@
         if not members.voters:
             raise MemberChangeError("the last voter cannot leave")
         assert core.leader_state is not None
-        core.leader_state.update_members(members, core.log.last_index + 1)
+        core.leader_state.update_members(members, core.log.last_index + 1, core.now)
         data = msgspec.msgpack.encode(members)
         self._append([Entry(core.term, EntryKind.MEMBERS, data)])
 
--- a/packages/replication/src/persimmonyard/replication/leader_state.py
+++ b/packages/replication/src/persimmonyard/replication/leader_state.py
@@ -13,14 +13,16 @@
 
     ``match`` is the highest index that is known to be synced there.
     ``in_flight`` counts unanswered ``AppendEntries`` messages.
-    ``acked_sent_at`` is when the leader sent the latest message that was
-    answered.  ``chunk_offset`` is None unless a snapshot is being sent.
+    ``added_at`` is when the leader began to replicate to the replica, and
+    ``acked_sent_at`` when it sent the latest message that was answered.
+    ``chunk_offset`` is None unless a snapshot is being sent.
     ``round_target`` is the index that a learner has to reach in the current
     catch-up round.
     """
 
     incarnation: str
     next_index: int
+    added_at: float = 0.0
     match: int = 0
     in_flight: int = 0
     sent_at: float = 0.0
@@ -48,7 +50,7 @@
     transfer_to: str = ""
     transfer_deadline: float | None = None
 
-    def update_members(self, members: Members, next_index: int) -> None:
+    def update_members(self, members: Members, next_index: int, now: float) -> None:
         """Drop replicas that left; reset those with a new incarnation."""
         known = self.progress_by_name
         self.progress_by_name = {}
@@ -58,7 +60,7 @@
             incarnation = members.incarnation(name) or ""
             progress = known.get(name)
             if progress is None or progress.incarnation != incarnation:
-                progress = Progress(incarnation, next_index)
+                progress = Progress(incarnation, next_index, now)
             self.progress_by_name[name] = progress
 
     def quorum_synced_index(self, members: Members, local_synced_index: int) -> int:
@@ -72,19 +74,23 @@
         matches.sort(reverse=True)
         return matches[members.quorum() - 1] if matches else 0
 
-    def silent_voters(self, members: Members, cutoff: float) -> list[str]:
-        """Return the voters that answered nothing sent at ``cutoff`` or later.
+    def silent_members(self, members: Members, cutoff: float) -> list[str]:
+        """Return the members that answered nothing sent since ``cutoff``.
 
-        The election of the leader counts as an answer of each voter.
+        The longest silent one comes first, among equals the oldest voter.  The
+        election of the leader and the addition of a member count as answers.
         """
-        silent = []
-        for name in members.voters:
+        answered_at_by_name: dict[str, float] = {}
+        for name in [*members.voters, *members.learners]:
             progress = self.progress_by_name.get(name)
             if progress is None:
                 continue
-            if max(progress.acked_sent_at or 0.0, self.elected_at) < cutoff:
-                silent.append(name)
-        return silent
+            answered_at = max(
+                progress.acked_sent_at or 0.0, progress.added_at, self.elected_at
+            )
+            if answered_at < cutoff:
+                answered_at_by_name[name] = answered_at
+        return sorted(answered_at_by_name, key=answered_at_by_name.__getitem__)
 
     def quorum_acked_at(self, members: Members, now: float) -> float | None:
         """Return the latest time at which a quorum followed this leader.
--- a/packages/replication/src/persimmonyard/replication/replica.py
+++ b/packages/replication/src/persimmonyard/replication/replica.py
@@ -57,6 +57,7 @@
 )
 from persimmonyard.replication.messages import (
     EntryKind,
+    Members,
     Message,
     SnapshotChunk,
     SnapshotMeta,
@@ -182,9 +183,7 @@
         Waits up to ``TRANSFER_TIMEOUT_S`` for the new leader.
         """
         core = self._core
-        if core is not None and core.role == Role.LEADER and not self._stopped:
-            self._step(TransferRequested())
-            await self._wait_for_new_leader(core)
+        await self.transfer_leadership()
         self._shut_down()
         if self._resume_task is not None:
             self._resume_task.cancel()
@@ -196,6 +195,16 @@
         if core is not None:
             self._storage.close()
 
+    async def transfer_leadership(self) -> None:
+        """Transfer leadership to another voter if this replica leads.
+
+        Waits up to ``TRANSFER_TIMEOUT_S`` for the new leader.
+        """
+        core = self._core
+        if core is not None and core.role == Role.LEADER and not self._stopped:
+            self._step(TransferRequested())
+            await self._wait_for_new_leader(core)
+
     async def _wait_for_new_leader(self, core: ReplicaCore) -> None:
         own_id = self._config.replica_id
         if len(core.members.voters) < 2:
@@ -232,6 +241,13 @@
         """
         return self._core.election.leader_contact_at if self._core else None
 
+    def members(self) -> Members:
+        """Return the newest membership in the log, committed or not.
+
+        It is empty until the log is loaded.
+        """
+        return self._core.members if self._core is not None else Members()
+
     def status(self) -> ReplicaStatus:
         """Return the state of this replica for operators and metrics."""
         core = self._core
@@ -249,15 +265,17 @@
             self._suspended(),
         )
 
-    def silent_voters(self, silence_s: float) -> list[str]:
-        """Return the voters that have not answered for ``silence_s`` seconds.
+    def silent_members(self, silence_s: float) -> list[str]:
+        """Return the members that have not answered for ``silence_s`` seconds.
 
-        The list is empty if this replica is not the leader.
+        The longest silent one comes first.  The list is empty if this replica
+        is not the leader.
         """
         core = self._core
         if core is None or not self.is_leader() or core.leader_state is None:
             return []
-        return core.leader_state.silent_voters(core.members, boottime_now() - silence_s)
+        cutoff = boottime_now() - silence_s
+        return core.leader_state.silent_members(core.members, cutoff)
 
     async def propose(self, entry: bytes) -> Any:
         """Commit and apply an entry, and return the result of applying it.
--- a/test/daemon/jobs/test_settings.py
+++ b/test/daemon/jobs/test_settings.py
@@ -55,6 +55,7 @@
             ('["10.1.0.2:8526", "10.2.0.2:8526"]', "[]", "group.seeds"),
             ("contact_ms = 3000", "contact_ms = 3000\nextra = 1", "extra"),
             ("[process]", "[limits]\nmemory_mb = 0\n[process]", "limits.memory_mb"),
+            ("[group]", "[group]\ntolerated_losses = -1", "group.tolerated_losses"),
             ("[process]", "[process", "TOML"),
         ):
             with self.subTest(new), self.assertRaises(UserError) as caught:
@@ -70,10 +71,14 @@
     def test_platform_may_leave_optional_values_empty(self):
         """Guards against processes that do not start on another platform."""
         filled = GOOD + 'longest_stop_ms = "900"\n[limits]\nmemory_mb = "296"\n'
+        filled = filled.replace("[group]", '[group]\ntolerated_losses = "2"')
         settings = self.load(filled)
+        self.assertEqual(2, settings.group.tolerated_losses)
         self.assertEqual(900, settings.bounds.longest_stop_ms)
         self.assertEqual(296, settings.limits.memory_mb)
-        empty = filled.replace('"900"', '""').replace('"296"', '""')
+        empty = filled
+        for value in ('"900"', '"296"', '"2"'):
+            empty = empty.replace(value, '""')
         self.assertEqual(self.load(GOOD), self.load(empty))
         with self.assertRaises(UserError):
             self.load(filled.replace('"296"', '"many"'))
--- a/test/replication/cluster.py
+++ b/test/replication/cluster.py
@@ -364,9 +364,12 @@
         )
         match message:
             case VoteRequest(term):
-                assert (state.term, state.voted_for[:2]) == (term, node.name)
+                assert (state.term, state.voted_for.partition("#")[0]) == (
+                    term,
+                    node.name,
+                )
             case VoteReply(term, True):
-                assert (state.term, state.voted_for[:2]) == (term, to), (
+                assert (state.term, state.voted_for.partition("#")[0]) == (term, to), (
                     "vote not durable"
                 )
             case AppendEntriesReply(term, True, match):
