--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,7 +13,7 @@
 from persimmonyard.standin.relay import Relay
 from soak.process import CLOCK_OFFSET_VARIABLE
 
-__all__ = ["UPSTREAM_STANDIN", "SoakDeployment"]
+__all__ = ["TOLERATED_LOSSES", "UPSTREAM_STANDIN", "SoakDeployment"]
 
 ROOT = Path(__file__).resolve().parent.parent
 UPSTREAM_STANDIN = ROOT / "platform" / "standin" / "upstream.py"
@@ -23,6 +23,8 @@
 # The slowest rate of the clock of an upstream; 1.0 is the true rate.
 MIN_CLOCK_RATE = 0.98
 STOP_DEADLINE_S = 20.0
+# How many of the control processes may be lost at a time.
+TOLERATED_LOSSES = 2
 
 SETTINGS = """
 [process]
@@ -43,6 +45,7 @@
 seeds = {seeds}
 first_start = {first_start}
 data_folder = "{folder}"
+tolerated_losses = {tolerated_losses}
 
 [bounds]
 longest_lease_ms = 10000
@@ -84,6 +87,8 @@
         self.peer_port, self.control_port = _free_port(), _free_port()
         self.entry_port, self.upstream_port = _free_port(), _free_port()
         self.control_names = [f"control-{n + 1}" for n in range(self.controls)]
+        self.first_control_names = tuple(self.control_names)
+        self.control_count = self.controls
         self.entry_names = [f"entry-{n + 1}" for n in range(self.entries)]
         self.upstream_names = [f"up-{n + 1}" for n in range(self.upstreams)]
         self.zone_by_name: dict[str, str] = {}
@@ -105,12 +110,7 @@
     def start(self) -> None:
         """Start the relays and all processes."""
         for name in self.control_names:
-            self._start_relay(
-                name, self._ip(1, name), self._ip(2, name), self.peer_port
-            )
-            self._start_relay(
-                name, self._ip(1, name), self._ip(2, name), self.control_port
-            )
+            self._start_control_relays(name)
             self._write_settings(name, first_start=True)
         for name in self.entry_names:
             self._write_settings(name, first_start=True)
@@ -121,6 +121,10 @@
         for name in self.names():
             self.start_process(name)
 
+    def _start_control_relays(self, name: str) -> None:
+        for port in (self.peer_port, self.control_port):
+            self._start_relay(name, self._ip(1, name), self._ip(2, name), port)
+
     def names(self) -> list[str]:
         """Return the names of all processes."""
         return [*self.control_names, *self.entry_names, *self.upstream_names]
@@ -192,6 +196,7 @@
             seeds=seeds,
             first_start=str(first_start).lower(),
             folder=self.folder / name if control else "",
+            tolerated_losses=TOLERATED_LOSSES,
         )
         (self.folder / f"{name}.toml").write_text(text)
 
@@ -214,6 +219,29 @@
         shutil.rmtree(self.folder / name, ignore_errors=True)
         self._write_settings(name, first_start=False)
 
+    def add_successor(self, name: str) -> str:
+        """Put a new control process in the place of ``name``; return its name.
+
+        It has an address of its own and is not started yet.  The settings of
+        all others name it as a seed if it is one of the first three.
+        """
+        self.control_count += 1
+        successor = f"control-{self.control_count}"
+        self.control_names[self.control_names.index(name)] = successor
+        self.zone_by_name[successor] = self.zone_by_name[name]
+        self._start_control_relays(successor)
+        for other in [*self.control_names, *self.entry_names]:
+            self._write_settings(other, first_start=False)
+        return successor
+
+    def remove_control(self, name: str) -> None:
+        """Kill a control process whose successor was added, and its relays."""
+        self.kill(name)
+        del self.process_by_name[name]
+        for relay in self.relays_by_name.pop(name):
+            relay.close()
+        shutil.rmtree(self.folder / name, ignore_errors=True)
+
     def stop(self) -> None:
         """Kill all processes and close the relays."""
         for name in self.process_by_name:
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,8 +37,13 @@
     deployment.kill = kill_and_record  # type: ignore[method-assign]
 
 
-async def run_soak(deployment: SoakDeployment, seconds: float) -> list[str]:
-    """Run one soak and return the violations of invariants."""
+async def run_soak(
+    deployment: SoakDeployment, seconds: float, replacements: bool = False
+) -> list[str]:
+    """Run one soak and return the violations of invariants.
+
+    With ``replacements``, control processes are replaced for good.
+    """
     observations = Observations()
     _record_kills(deployment, observations)
 
@@ -52,7 +57,7 @@
             async with asyncio.timeout(START_TIMEOUT_S):
                 await workload.put_first_configuration()
             workload_task = asyncio.create_task(workload.run())
-            await FaultInjector(deployment, log_fault).run(seconds)
+            await FaultInjector(deployment, log_fault, replacements).run(seconds)
             workload.stop()
             await workload_task
             await workload.await_completion()
@@ -97,6 +102,9 @@
     seconds: Annotated[float, typer.Option(help="Duration of the faults.")] = 20.0,
     count: Annotated[int, typer.Option(help="Number of consecutive seeds.")] = 1,
     slot: Annotated[int, typer.Option(help="Address range, 1-200.")] = 1,
+    replacements: Annotated[
+        bool, typer.Option(help="Also replace control processes for good.")
+    ] = False,
 ) -> None:
     """Run soaks of the job service and keep the logs of failed seeds.
 
@@ -108,7 +116,7 @@
         print(f"seed {current_seed}", flush=True)
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{current_seed}-"))
         violations = asyncio.run(
-            run_soak(SoakDeployment(folder, current_seed, slot), seconds)
+            run_soak(SoakDeployment(folder, current_seed, slot), seconds, replacements)
         )
         if not violations:
             shutil.rmtree(folder)
@@ -116,8 +124,10 @@
         failed_count += 1
         print("\n".join(violations[:20]))
         print(f"logs: {folder.name} in the temporary folder")
+        option = " --replacements" if replacements else ""
         print(
-            f"to repeat: python -m soak.run --seed {current_seed} --seconds {seconds:g}"
+            f"to repeat: python -m soak.run --seed {current_seed} "
+            f"--seconds {seconds:g}{option}"
         )
     print(f"{count - failed_count} of {count} seeds passed")
     sys.exit(1 if failed_count else 0)
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -12,6 +12,8 @@
 # Seed 35 failed with issue 49: upstreams restart while they have work, and the
 # number of an earlier incarnation's last end deletes unread ends of the next.
 SEEDS = (1, 35)
+REPLACEMENT_SEED = 6000
+REPLACEMENTS_S = 14.0
 
 
 class SoakTests(unittest.TestCase):
@@ -26,6 +28,21 @@
                 deployment = SoakDeployment(Path(folder), seed, slot=201, upstreams=4)
                 self.assertEqual([], asyncio.run(run_soak(deployment, FAULTS_S)))
 
+    def test_invariants_hold_while_control_processes_are_replaced(self):
+        """Guards against a group that has no leader after replacements.
+
+        Up to two control processes are replaced for good or lose their disks
+        at a time, beside the other faults.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            deployment = SoakDeployment(
+                Path(folder), REPLACEMENT_SEED, slot=202, upstreams=4
+            )
+            violations = asyncio.run(
+                run_soak(deployment, REPLACEMENTS_S, replacements=True)
+            )
+            self.assertEqual([], violations)
+
 
 if __name__ == "__main__":
     unittest.main()
