Give gRPC the true time in the soak

A control process does not join the group.

Cause: soak/process.py shifts the time of day of a process by up to 0.5 s in Python. gRPC computes the deadline of a call from that clock, and its core compares it with the clock of the system. A process whose clock is behind by more than the 0.3 s of a probe gets DEADLINE_EXCEEDED from each one within a few milliseconds, for as long as it lives. No real clock can do this: there both sides read the same one.

Evidence: in 27 starts without any fault, one of the two control processes that have to join did not in 9. A trace of the probes shows connections that are ready, and 3 ms later DEADLINE_EXCEEDED of a call with 0.3 s.

Change: gRPC keeps the true clock.

--- a/soak/process.py
+++ b/soak/process.py
@@ -1,7 +1,7 @@
 """Runs a control process or an entry with clock and disk faults.
 
 SIGUSR1 makes writes to the disk stall for 2 s, SIGUSR2 makes them fail for
-1.5 s.  The time of day has a constant offset.
+1.5 s.  The time of day has a constant offset, except in gRPC.
 """
 
 import errno
@@ -10,9 +10,12 @@
 import signal
 import sys
 import time
+import types
 from collections.abc import Callable
 from typing import Any
 
+from grpc.aio import _utils as grpc_utils
+
 from persimmonyard.platform.main import run
 from persimmonyard.replication import FileStorage, WriteRefusedError
 
@@ -62,6 +65,9 @@
     clock_offset_s = float(os.environ.get(CLOCK_OFFSET_VARIABLE, "0"))
     system_time = time.time
     time.time = lambda: system_time() + clock_offset_s  # type: ignore[assignment]
+    # gRPC adds time-outs to the time of day, and its core, which is not in
+    # Python, compares the sum with the clock of the system.
+    grpc_utils.time = types.SimpleNamespace(time=system_time)  # type: ignore
     for name in WRITE_METHODS:
         setattr(FileStorage, name, _refusable(getattr(FileStorage, name)))
     persist = FileStorage.persist
