Keep the doubt about forgotten ends in the replicated state

An upstream has executed an acknowledgement for its former incarnation and forgets its first 60 ends.

Cause: how many ends an upstream may forget was in the memory of one leader. The next one had a doubt only about incarnations that began within 12 s of its own beginning, and dropped it as soon as it took over any run there, which may be such a short one.

Change: NoteDoubts commits the number before the report of the incarnation and before the first start there, and 0 once an end is listed. A new leader starts from it. A guess from the time of its own beginning is given up when the incarnation lists a run of an earlier leader. What a session knew of this is a class of its own now, ForgottenEnds.

Why it works: no run starts on such an upstream before its doubt is committed, so a next leader either finds the doubt, or knows by a listed run that there was none.

--- a/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/inspection.py
@@ -52,7 +52,7 @@
             "leaving": upstream.report.leaving,
             "gone": upstream.gone,
             "confirmed": upstream.confirmed,
-            "ends_in_doubt": session.ends_in_doubt if session is not None else 0,
+            "ends_in_doubt": session.forgotten_ends.count if session is not None else 0,
             "heard_s_ago": round(now - upstream.last_seen_at, 3),
             "avoided_s": round(max(0.0, upstream.avoid_until - now), 3),
             "speed": round(speed.factor, 3),
--- a/packages/daemon/src/persimmonyard/daemon/jobs/replacements.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/replacements.py
@@ -63,6 +63,8 @@
         successor: "UpstreamSession | None",
     ) -> None:
         await self.note_silence(silences)
+        if successor is not None:
+            await successor.forgotten_ends.note()
         await self._registry.commit((upstream.report,))
         if successor is not None:
             await successor.begin()
--- a/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/run_starter.py
@@ -94,14 +94,18 @@
                 return
             now = term.now()
             lease_ms = term.durations.lease_ms
-            if self._session.ends_in_doubt:
+            forgotten_ends = self._session.forgotten_ends
+            if forgotten_ends.count:
                 lease_ms = int(
                     _PROBE_LEASE_SHARE * term.durations.order_timeout_s * 1e3
                 )
-            if self._session.ends_in_doubt and not self._session.is_alone(task_run):
+            if forgotten_ends.count and not self._session.is_alone(task_run):
                 self._session.upstream.avoid(now + _PROBE_AVOID_S)
                 await self._give_up_start(task_run, "end probe in progress")
                 return
+            if not forgotten_ends.is_noted():
+                await forgotten_ends.note()
+                continue
             task_run.sent = True
             if task_run.delivered_at is None:
                 task_run.delivered_at = now
--- a/packages/daemon/src/persimmonyard/daemon/jobs/session.py
+++ b/packages/daemon/src/persimmonyard/daemon/jobs/session.py
@@ -11,6 +11,7 @@
     is_lease_over,
     is_stop_over,
 )
+from persimmonyard.daemon.jobs.forgotten_ends import ForgottenEnds
 from persimmonyard.daemon.jobs.run_descriptions import (
     describe_lost_runs,
     describe_silences,
@@ -52,8 +53,6 @@
 # Without runs, ends whose acknowledgement got no answer are listed again after
 # this time, in seconds.
 _ACKNOWLEDGE_DELAY_S = 0.3
-# Number of the last end that an earlier leader may have acknowledged.
-_UNKNOWN_END = 1 << 31
 # How long a poll waits while ends are in doubt or the upstream is about to
 # end, in milliseconds.
 _SHORT_WAIT_MS = 200
@@ -101,8 +100,7 @@
         # later incarnation may execute, and those in progress.
         self._unanswered_end = 0
         self._ends_in_progress: list[int] = []
-        # How many ends this incarnation may forget.
-        self.ends_in_doubt = 0
+        self.forgotten_ends = ForgottenEnds(leader_term, upstream)
         self._work_added = asyncio.Event()
         self._failed_polls = 0
         self._look_requested = False
@@ -120,8 +118,6 @@
         self._closed = False
         self.contact = UpstreamContact(upstream.report.incarnation, leader_term.now)
         self._starter = RunStarter(leader_term, self)
-        if leader_term.may_have_foreign_orders(upstream):
-            self.ends_in_doubt = _UNKNOWN_END
         if predecessor is None:
             self._begun.set()
         else:
@@ -142,10 +138,6 @@
 
     def add(self, task_run: TaskRun) -> None:
         """Supervise a run that was placed on the upstream."""
-        if task_run.taken_over and not task_run.replaced:
-            # The earlier leader had no doubt about the ends, or few runs would
-            # be here.
-            self.ends_in_doubt = 0
         self.task_run_by_key[(task_run.task_key, task_run.run)] = task_run
         self._work_added.set()
         if task_run.state == RunState.STARTING:
@@ -187,7 +179,7 @@
         self._unanswered_end = max(
             predecessor._unanswered_end, *predecessor._ends_in_progress, 0
         )
-        self.ends_in_doubt = max(self.ends_in_doubt, self._unanswered_end)
+        self.forgotten_ends.raise_to(self._unanswered_end)
         self.request_look()
 
     async def begin(self) -> None:
@@ -348,7 +340,7 @@
                 continue
             if task_run.started_at is None:
                 return 0
-        if self.ends_in_doubt or self._departing:
+        if self.forgotten_ends.count or self._departing:
             # An end that is forgotten ends no wait, and an upstream that has
             # ended gives no answer.
             return min(_SHORT_WAIT_MS, self._term.durations.wait_ms)
@@ -389,7 +381,7 @@
             and self.task_run_by_key
             and not self._failed_polls
             and not acknowledged_end
-            and not self.ends_in_doubt
+            and not self.forgotten_ends.count
             and not self._departing
         ):
             until_ms = upstream.grant_lease(term.durations.lease_ms, sent_at)
@@ -456,7 +448,7 @@
 
     def stop_if_probe(self, task_run: TaskRun) -> None:
         """Stop a run that has started while ends are in doubt."""
-        if self.ends_in_doubt:
+        if self.forgotten_ends.count:
             self._term.record_event("end_probe")
             self.upstream.avoid(self._term.now() + _PROBE_AVOID_S)
             self.stop(task_run, "end probe")
@@ -542,6 +534,9 @@
             if task_run is None:
                 self._stop_unknown(listed_run.task_key, listed_run.run)
                 continue
+            self.forgotten_ends.record_listed_run(
+                task_run.taken_over and not task_run.replaced
+            )
             if task_run.replaced and not task_run.stop_sent:
                 task_run.stop_sent = True
                 self._spawn(self._stop(task_run))
@@ -568,7 +563,7 @@
         if ends:
             await self._term.commit_ends(ends)
         if listing.ended:
-            self.ends_in_doubt = 0
+            self.forgotten_ends.end()
         for ended in listing.ended:
             self._last_end_number = max(self._last_end_number, ended.number)
         self._term.stop_stalled_runs(self)
@@ -632,8 +627,8 @@
             return None
         if task_run.state == RunState.STOPPING:
             began = task_run.started_at is not None
-            if began and self.ends_in_doubt:
-                self.ends_in_doubt -= 1
+            if began:
+                self.forgotten_ends.record_forgotten_end()
             end = TaskEnd.LOST if began else TaskEnd.REJECTED
             return self.run_end(task_run, end)
         if task_run.state == RunState.RUNNING:
--- a/packages/jobs/src/persimmonyard/jobs/__init__.py
+++ b/packages/jobs/src/persimmonyard/jobs/__init__.py
@@ -22,6 +22,7 @@
     ExpireJobs,
     ForgetUpstreams,
     InvalidCommandError,
+    NoteDoubts,
     NotedSpeed,
     NoteSilence,
     NoteSpeeds,
@@ -73,6 +74,7 @@
     TaskKey,
     UnitKey,
 )
+from persimmonyard.jobs.noted_doubts import EndDoubt
 from persimmonyard.jobs.placement_preview import (
     PlacementPreview,
     PlanInputs,
@@ -96,6 +98,7 @@
     "Change",
     "ComeBack",
     "Command",
+    "EndDoubt",
     "EndRuns",
     "ExpireJobs",
     "Fleet",
@@ -110,6 +113,7 @@
     "KeepWaiting",
     "LeaderLoss",
     "Limits",
+    "NoteDoubts",
     "NoteSilence",
     "NoteSpeeds",
     "NoteUpstreams",
--- a/packages/jobs/src/persimmonyard/jobs/commands.py
+++ b/packages/jobs/src/persimmonyard/jobs/commands.py
@@ -7,6 +7,7 @@
 from persimmonyard.jobs.configuration import JobConfiguration
 from persimmonyard.jobs.fleet import UpstreamReport
 from persimmonyard.jobs.model import Job, TaskEnd, UnitKey
+from persimmonyard.jobs.noted_doubts import EndDoubt
 
 __all__ = [
     "Answer",
@@ -16,6 +17,7 @@
     "ExpireJobs",
     "ForgetUpstreams",
     "InvalidCommandError",
+    "NoteDoubts",
     "NoteSilence",
     "NoteSpeeds",
     "NoteUpstreams",
@@ -212,6 +214,16 @@
     answers: tuple[Answer, ...] = ()
 
 
+class NoteDoubts(_Command, frozen=True, array_like=True, tag="dbt"):
+    """Store how many ends upstreams may forget, for the next leader.
+
+    Committed before the first start on an incarnation, and again with a count
+    of 0 once it forgets none any more.
+    """
+
+    doubts: tuple[EndDoubt, ...]
+
+
 class ForgetUpstreams(_Command, frozen=True, array_like=True, tag="fgt"):
     """Delete the reports of upstreams that no longer send heartbeats."""
 
@@ -244,6 +256,7 @@
     | PlaceRuns
     | EndRuns
     | ExpireJobs
+    | NoteDoubts
     | NoteSilence
     | NoteSpeeds
     | NoteUpstreams
--- a/packages/jobs/src/persimmonyard/jobs/store.py
+++ b/packages/jobs/src/persimmonyard/jobs/store.py
@@ -26,6 +26,7 @@
     EndRuns,
     ExpireJobs,
     ForgetUpstreams,
+    NoteDoubts,
     NotedSpeed,
     NoteSilence,
     NoteSpeeds,
@@ -50,6 +51,7 @@
     TaskKey,
     UnitKey,
 )
+from persimmonyard.jobs.noted_doubts import EndDoubt, NotedDoubts
 from persimmonyard.jobs.noted_speeds import NotedSpeeds
 from persimmonyard.jobs.records import JobRecord, SeatRecord, Unit, UnitStatus
 from persimmonyard.jobs.service_capacities import ServiceCapacities
@@ -84,6 +86,7 @@
     account_rates: dict[str, JobRate] = {}
     speeds: list[NotedSpeed] = []
     withdrawn: list[WithdrawnJob] = []
+    doubts: list[EndDoubt] = []
 
 
 class JobStore:
@@ -120,6 +123,7 @@
         self.work_usage = WorkUsage()
         self._record_by_schedule: dict[str, JobRecord] = {}
         self.withdrawn_jobs = WithdrawnJobs()
+        self.noted_doubts = NotedDoubts()
         self._crash_accounting = CrashAccounting(self)
         self._observers: list[Callable[[list[Change]], None]] = []
         # The changes that the current command has made.
@@ -150,6 +154,7 @@
             self._account_rates.rate_by_account,
             self.noted_speeds.all(),
             self.withdrawn_jobs.all(),
+            self.noted_doubts.all(),
         )
         return msgspec.msgpack.encode(snapshot_data)
 
@@ -173,6 +178,7 @@
         self.account_usage.clear()
         self._account_rates.rate_by_account = snapshot_data.account_rates
         self.withdrawn_jobs = WithdrawnJobs(snapshot_data.withdrawn)
+        self.noted_doubts = NotedDoubts(snapshot_data.doubts)
         self._waiting = WaitingByStep()
         self.work_usage = WorkUsage()
         self._record_by_schedule = {}
@@ -248,6 +254,10 @@
                 for run_silence in runs:
                     self._note_silence(run_silence)
                 return True
+            case NoteDoubts(doubts):
+                for doubt in doubts:
+                    self.noted_doubts.note(doubt)
+                return True
             case NoteSpeeds(speeds):
                 for speed in speeds:
                     self.noted_speeds.note(speed)
--- a/test/daemon/jobs/test_restarts.py
+++ b/test/daemon/jobs/test_restarts.py
@@ -13,6 +13,7 @@
     EndRuns,
     ForgetUpstreams,
     JobState,
+    JobStore,
     SubmitJob,
     TaskEnd,
     order_fence,
@@ -42,6 +43,7 @@
         self.lost_acknowledgements = None
         self.before_acknowledgement = None
         self.lose_start_answers = False
+        self.lose_stops = False
         self.hanging_count = 0
         self.failed = asyncio.Event()
 
@@ -63,6 +65,11 @@
             raise NoAnswerError("answer lost")
         return reply
 
+    async def stop(self, target, task_key, run, fence):
+        if self.lose_stops:
+            raise NoAnswerError("time-out")
+        return await super().stop(target, task_key, run, fence)
+
 
 class RestartTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
@@ -181,7 +188,11 @@
 
     async def check_tasks_complete_once(self, replacement):
         """Run four tasks on a replacement; those not stopped end as done."""
-        record = await self.submit(SECOND, step(4))
+        await self.submit(SECOND, step(4))
+        await self.check_second_job_completes_once(replacement)
+
+    async def check_second_job_completes_once(self, replacement):
+        record = self.leader.store.job_by_id[SECOND]
         done = []
         while record.state() != JobState.COMPLETED:
             present = set(replacement.running.items())
@@ -217,6 +228,52 @@
         self.leader.report("u1", incarnation=2)
         await self.check_tasks_complete_once(replacement)
 
+    async def change_leader(self):
+        """Continue with the next leader, which has the state of this one."""
+        self.leader.term.close()
+        await wait_until(lambda: not self.leader.commits)
+        store = JobStore()
+        store.restore(self.leader.store.snapshot())
+        self.leader = InMemoryLeader(self.upstreams, store, fence=2)
+        self.leader.term.start()
+
+    async def test_next_leader_knows_that_ends_may_be_forgotten(self):
+        """Guards against tasks that start again after a change of leaders.
+
+        The incarnation began long before, so only an earlier leader knows of
+        the acknowledgement that it has executed.
+        """
+        replacement = await self.restart_with_an_acknowledgement_in_flight()
+        self.leader.report("u1", incarnation=2)
+        await wait_until(lambda: replacement.leases)
+        await self.change_leader()
+        self.leader.report("u1", incarnation=2, sequence=2)
+        await self.check_tasks_complete_once(replacement)
+
+    async def test_next_leader_stops_a_run_whose_end_may_be_forgotten(self):
+        """Guards against taking an end probe for a run without doubt."""
+        replacement = await self.restart_with_an_acknowledgement_in_flight()
+        self.upstreams.lose_stops = True
+        self.leader.report("u1", incarnation=2)
+        await self.submit(SECOND, step(4))
+        await wait_until(lambda: replacement.running)
+        await self.change_leader()
+        self.upstreams.lose_stops = False
+        self.leader.report("u1", incarnation=2, sequence=2)
+        await self.check_second_job_completes_once(replacement)
+
+    async def test_doubt_ends_for_the_next_leader_once_an_end_is_listed(self):
+        """Guards against short runs on an upstream that forgets nothing."""
+        replacement = await self.restart_with_an_acknowledgement_in_flight()
+        self.leader.report("u1", incarnation=2)
+        await self.check_tasks_complete_once(replacement)
+        await self.change_leader()
+        self.leader.report("u1", incarnation=2, sequence=2)
+        started = len(replacement.started)
+        await self.submit("00000000000000b3", step(2))
+        await wait_until(lambda: len(replacement.running) == 2)
+        self.assertEqual(started + 2, len(replacement.started))
+
     async def test_stopped_run_without_a_start_ends_on_a_silent_upstream(self):
         """Guards against a seat that stays open while its upstream is dead."""
         self.upstreams.silent.add("u1")
